--- /dev/null
+++ b/thistleline/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control inside each server of a fleet."""
--- /dev/null
+++ b/thistleline/policy.py
@@ -0,0 +1,533 @@
+"""Every decision, table and tuned value of thistleline.
+
+One `Policy` lives in each server, from `Policy(bench, seed, now)` to the end of the process. The host calls
+`round(now, came_in, out)` once at birth with nothing and then once a round with all that came in since, in
+order; decisions go straight into the writer `out`. Types and the writer: thistleline/interface.py.
+The ordinary path of a task is `_pass`; the overload mechanism is `_sense`, `_steer` and `_cut_for`.
+"""
+
+from collections import deque
+from random import Random
+from statistics import fmean, median
+
+from thistleline.interface import Bench, CameIn, Task, Writer
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+
+TICK = 25 * MS  # the detectors' timer; it also looks after the nearest time limit
+WINDOW = 8  # ticks in a detector's window
+HIGH = 0.9  # the percentile of a window that counts
+FIRE_AFTER = 3  # consecutive windows in violation that make a firing
+QUEUE_PER_CORE = 2.0  # run queue per core in violation
+INFLECTION = 0.5  # part of a held task's spare time that is gone, in violation
+FAST, SLOW = SECOND, 200  # span of the fast latency average; calm samples in the slow one
+CROSSING = 1.3  # the fast average must pass the slow one times this
+CALM_SAMPLES = 12  # fewer calm samples than this are no history
+
+SEED_SPAN = 2 * SECOND  # throughput just before the overload is counted over this
+CUT_BACK = 0.9  # what a firing leaves of the cap
+PROBE_STEP = 1.1
+PROBE_FIRST, PROBE_LAST = SECOND, 8 * SECOND
+SETTLE = SECOND  # a firing sooner than this after a change of the cap is the old crowd's
+LIFT_AFTER = 4 * SECOND  # calm this long lifts the cap
+ARRIVALS_SPAN = 3 * SECOND
+BUCKETS = 16  # user buckets in a level
+CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
+
+START_CROWD = 1.5  # running tasks a core before there is history
+CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
+CROWD_GUARD = 0.7  # part of the crowd bound, at the present warmth, that is used
+MEMORY_GUARD = 0.9
+PACE_SAMPLES = 9
+ANSWER_EARLY = 2 * TICK
+LEAVE_EARLY = 200 * MS
+RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
+
+
+class Effect:
+    """One effect, however many tries ask for it: which try ran, which is held, which wait for the answer."""
+
+    __slots__ = ("followers", "holder", "ran", "until")
+
+    def __init__(self, until: int) -> None:
+        self.ran = False
+        self.holder: Exec | None = None
+        self.followers: list[Exec] = []
+        self.until = until
+
+
+class Exec:
+    """A task in hand: held, running, at a call, waiting for a repeat's answer, or answered but still working."""
+
+    __slots__ = ("due", "effect", "limit", "place", "started", "state", "task", "tries")
+
+    def __init__(self, task: Task, due: int, limit: int, place: int) -> None:
+        self.task, self.due, self.limit, self.place = task, due, limit, place
+        self.state = "held"
+        self.started = 0
+        self.tries = 0
+        self.effect: Effect | None = None
+
+
+class Row:
+    """What the module reads of a stage."""
+
+    __slots__ = ("effect", "level", "pace", "stage")
+
+    def __init__(self, bench: Bench, place: int) -> None:
+        self.stage = bench.stages[place]
+        self.effect = self.stage.effect
+        self.level = sorted({stage.utility for stage in bench.stages}).index(self.stage.utility)
+        self.pace: deque[float] = deque(maxlen=PACE_SAMPLES)  # run time for each ns of hinted work
+
+
+class Policy:
+    def __init__(self, bench: Bench, seed: int, now: int) -> None:
+        self.bench = bench
+        self.chance = Random(seed).random
+        self.rows = [Row(bench, place) for place in range(len(bench.stages))]
+        self.levels = max((row.level for row in self.rows), default=0) + 1
+        self.born = now
+        self.begun = False
+        self.now = now
+        self.tasks: dict[str, Exec] = {}
+        self.effects: dict[str, Effect] = {}
+        self.entries: dict[str, int] = {}  # remembered fingerprints, each until when
+        self.memory = 0.0
+        self.running = 0  # takes running memory and may stand on a core
+        self.leave_notice: int | None = None
+        self.leave_by: int | None = None
+        # detectors
+        self.queue_samples: deque[float] = deque(maxlen=WINDOW)
+        self.wait_samples: deque[float] = deque(maxlen=WINDOW)
+        self.violations = [0, 0]
+        self.latencies: deque[tuple[int, int]] = deque(maxlen=SLOW)
+        self.calm: deque[int] = deque(maxlen=SLOW)
+        self.peaks: deque[float] = deque(maxlen=CROWD_WINDOWS)
+        self.ticks = 0
+        self.on_cores = 0.0
+        # cap and cut
+        self.limit = float(bench.cores)
+        self.finishes: deque[int] = deque(maxlen=512)
+        self.arrivals: deque[tuple[int, int, bool]] = deque(maxlen=2048)
+        self.cap: float | None = None
+        self.before_probe: float | None = None
+        self.probe_wait = PROBE_FIRST
+        self.changed = self.fired = now
+        self.cut = 0
+        self.said = 0.0
+        # calls
+        self.at_call: list[Exec] = []
+        self.calls: deque[tuple[int, int]] = deque(maxlen=512)  # from, until of those over
+        self.calling: dict[str, int] = {}
+
+    # ---- a round
+
+    def round(self, now: int, came_in: list[CameIn], out: Writer) -> None:
+        self.now = now
+        if not self.begun:
+            self.begun = True
+            out.health(True, True)
+            out.alarm("tick", TICK)
+        fresh: list[Task] = []
+        for item in came_in:
+            kind = item[0]
+            if kind == "task":
+                fresh.append(item[1])
+            elif kind == "over":
+                self._over(item[1], item[2], item[3], out)
+            elif kind == "gone":
+                self._gone(item[1], out)
+            elif kind == "wants_call":
+                held = self.tasks.get(item[1])
+                if held is not None:
+                    held.state = "at_call" if held.state == "running" else held.state
+                    self.at_call.append(held)
+            elif kind == "call_over":
+                self._call_over(item[1], item[2], out)
+            elif kind == "leave":
+                self.leave_notice, self.leave_by = now, item[1]
+                out.health(False, True)
+                if self.bench.says == "threshold":
+                    out.say(1.0)
+            elif kind == "bell":
+                out.alarm("tick", TICK)
+                self._sense(item[2])
+                self._steer(out)
+                self._answer_due(out)
+        self._pass(fresh, out)
+        if self.at_call:
+            self._make_calls(out)
+
+    def _pass(self, fresh: list[Task], out: Writer) -> None:
+        """The ordinary path: read, cut or hold, then start the held by due time while there is room."""
+        now, bench = self.now, self.bench
+        for task in fresh:
+            row = self.rows[task.stage]
+            stage = row.stage
+            limit = task.limit if task.limit is not None else task.reached + stage.limit_span
+            due = task.reached + stage.due_span + int(stage.due_stretch * (task.work or 0))
+            place = row.level * BUCKETS + self._bucket(task)
+            held = Exec(task, min(due, limit), limit, place)
+            self.tasks[task.id] = held
+            self.memory += task.held_kb
+            self.arrivals.append((now, place, task.again))
+            if stage.effect == "fingerprinted" and self._joins(held, out):
+                continue
+            if stage.effect == "restartable" and task.repeats is not None:
+                other = self.tasks.get(task.repeats)
+                if other is None or other.state == "running":
+                    self._answer_from(held, out)
+                    continue
+            if limit - ANSWER_EARLY <= now or self._too_late_to_run(task) or place < self.cut:
+                self._reject(held, out)
+            elif self._memory_short(bench.key_kb if held.effect else 0.0):
+                self._reject(held, out)  # memory: what was read last gives way, never the table of what ran
+            elif held.effect is not None:
+                self._remember(held, out)
+
+        waiting = sorted((held for held in self.tasks.values() if held.state == "held"), key=_by_due)
+        for held in waiting:
+            if held.effect is not None and held.effect.holder is not held:
+                continue
+            if now + self._estimate(held.task) > held.due and (self.running > 0 or now >= held.due):
+                self._reject(held, out)  # cannot be answered in time to be worth anything
+                continue
+            if self.running >= self._room():
+                continue
+            if self._memory_short(held.task.held_kb * (bench.run_factor - 1)):
+                continue
+            self._start(held, out)
+
+    def _bucket(self, task: Task) -> int:
+        """The user's bucket, the same in every server and life: the hashed key, or the rank if keyless."""
+        if task.user is not None:
+            return (task.user * 0x9E3779B97F4A7C15 >> 40) % BUCKETS
+        part = task.rank * len(self.rows)
+        return int((part - int(part)) * BUCKETS) % BUCKETS
+
+    def _estimate(self, task: Task) -> int:
+        pace = self.rows[task.stage].pace
+        return int(median(pace) * (task.work or 1)) if pace else 0
+
+    def _room(self) -> int:
+        """How many may run: the grown limit, under the crowd survived before and the guard for the cores."""
+        bench = self.bench
+        warmth = 1.0
+        if bench.fresh:
+            age = (self.now - self.born) / max(1, bench.cold_span)
+            warmth = min(1.0, bench.cold_from + (1 - bench.cold_from) * age)
+        guard = bench.cores * (1 + (bench.crowd_bound - 1) * warmth) * CROWD_GUARD
+        return max(1, int(min(self.limit, guard)))
+
+    def _memory_short(self, more: float) -> bool:
+        entries = len(self.entries) * self.bench.key_kb
+        return self.memory + entries + more > self.bench.memory_kb * MEMORY_GUARD
+
+    def _too_late_to_run(self, task: Task) -> bool:
+        """Guards the drain: nothing that came later than the grace is started, nor what can't end in time."""
+        if self.leave_notice is None or self.leave_by is None:
+            return False
+        return (
+            task.reached > self.leave_notice + self.bench.drain_grace // 2
+            or self.now + self._estimate(task) > self.leave_by - LEAVE_EARLY
+        )
+
+    def _start(self, held: Exec, out: Writer) -> None:
+        held.state, held.started = "running", self.now
+        held.tries += 1
+        self.running += 1
+        self.memory += held.task.held_kb * (self.bench.run_factor - 1)
+        out.start(held.task.id)
+        if held.effect is not None:
+            held.effect.ran = True
+            for follower in held.effect.followers:
+                self._answer_from(follower, out)
+            held.effect.followers.clear()
+        elif self.bench.answer_fresh_for and held.task.user is not None and not self._memory_short(0):
+            self._keep(held.task.id, held.limit + self.bench.answer_fresh_for, out)
+
+    # ---- detectors, cap and cut
+
+    def _sense(self, gauges: dict[str, float]) -> None:
+        """Run queue per core and hold wait, a window at a time; latency confirms."""
+        now, bench = self.now, self.bench
+        self.on_cores = gauges.get("on_cores", float(self.running))
+        self.queue_samples.append(self.on_cores / bench.cores)
+        worst = 0.0
+        for held in self.tasks.values():
+            if held.state == "held":
+                spare = held.due - self._estimate(held.task) - held.task.reached
+                worst = max(worst, (now - held.task.reached) / max(spare, TICK))
+        self.wait_samples.append(worst)
+        self.ticks += 1
+        if self.ticks % WINDOW == 0:
+            for place, (samples, bound) in enumerate(
+                ((self.queue_samples, QUEUE_PER_CORE), (self.wait_samples, INFLECTION))
+            ):
+                high = sorted(samples)[int(HIGH * (len(samples) - 1))]
+                self.violations[place] = self.violations[place] + 1 if high > bound else 0
+            if self.violations == [0, 0]:
+                self.peaks.append(max(self.queue_samples))
+        waiting = any(held.state == "held" for held in self.tasks.values())
+        if waiting and self.on_cores < bench.cores:
+            self.limit = max(self.limit, self.running + bench.cores - self.on_cores)
+        survived = max(self.peaks) if len(self.peaks) >= WINDOW else START_CROWD
+        crowd = bench.cores * min(max(1.0, survived), START_CROWD)
+        if self.on_cores > crowd:
+            self.limit = max(float(bench.cores), min(self.limit, self.running) - 1)
+
+    def _confirmed(self) -> bool:
+        """Fast latency over the slow one. What is in hand counts by its age, so a standstill shows."""
+        now = self.now
+        fast = [took for when, took in self.latencies if when > now - FAST]
+        slow = fmean(self.calm) if len(self.calm) >= CALM_SAMPLES else 0.0
+        fast += [
+            age
+            for held in self.tasks.values()
+            if held.state in ("held", "running") and (age := now - held.task.reached) > slow
+        ]
+        if not slow:
+            slow = fmean([row.stage.due_span for row in self.rows]) / 3
+        return bool(fast) and fmean(fast) > slow * CROSSING
+
+    def _throughput(self) -> float:
+        since = self.now - SEED_SPAN
+        return sum(1 for when in self.finishes if when > since) * SECOND / SEED_SPAN
+
+    def _arriving(self) -> float:
+        while self.arrivals and self.arrivals[0][0] <= self.now - ARRIVALS_SPAN:
+            self.arrivals.popleft()
+        return len(self.arrivals) * SECOND / ARRIVALS_SPAN
+
+    def _steer(self, out: Writer) -> None:
+        """A confirmed firing seeds the cap; firings bring it down, calm probes it up and lifts it."""
+        if self.ticks % WINDOW:
+            return
+        now = self.now
+        firing = max(self.violations) >= FIRE_AFTER and self._confirmed()
+        if firing:
+            self.fired = now
+            if self.cap is None:
+                self.cap = max(1.0, self._throughput())
+                self.probe_wait = PROBE_FIRST
+                self.before_probe = None
+                self.changed = now
+            elif now - self.changed >= SETTLE:
+                if self.before_probe is not None:
+                    self.cap = self.before_probe
+                    self.probe_wait = min(PROBE_LAST, self.probe_wait * 2)
+                    self.before_probe = None
+                else:
+                    self.cap = max(1.0, min(self.cap, self._throughput()) * CUT_BACK)
+                self.changed = now
+        elif self.cap is not None:
+            if now - self.fired >= LIFT_AFTER or self.cap > self._arriving() * PROBE_STEP:
+                self.cap = None
+            elif now - max(self.changed, self.fired) >= self.probe_wait:
+                self.before_probe = self.cap
+                self.cap *= PROBE_STEP
+                self.changed = now
+        wanted = self._cut_for(self.cap) if self.cap is not None else 0
+        fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
+        self.cut = max(wanted, self.cut - fall)
+        if self.bench.says == "threshold" and self.leave_notice is None:
+            value = self.cut / (BUCKETS * self.levels)
+            if value != self.said:
+                self.said = value
+                out.say(value)
+
+    def _cut_for(self, cap: float) -> int:
+        """The lowest cut whose rest fits the cap; empty levels and buckets are skipped."""
+        spare = self._arriving() - cap
+        counts: dict[int, int] = {}
+        for _, place, _ in self.arrivals:
+            counts[place] = counts.get(place, 0) + 1
+        cut = 0
+        for place in sorted(counts):
+            if spare <= 0:
+                break
+            spare -= counts[place] * SECOND / ARRIVALS_SPAN
+            cut = place + 1
+        return min(cut, BUCKETS * self.levels - 1)
+
+    # ---- effects
+
+    def _joins(self, held: Exec, out: Writer) -> bool:
+        """Guards against an effect twice: a repeat of what is held waits for it, of what ran is answered by it."""
+        task = held.task
+        effect = self.effects.get(task.repeats) if task.repeats is not None else None
+        if effect is None:
+            effect = Effect(0)
+        window = self.rows[task.stage].stage.window
+        effect.until = max(effect.until, max(task.reached + window, held.limit) + window)
+        held.effect = self.effects[task.id] = effect
+        if effect.ran:
+            self._answer_from(held, out)
+            return True
+        if effect.holder is not None:
+            effect.followers.append(held)
+            return True
+        effect.holder = held
+        return False
+
+    def _remember(self, held: Exec, out: Writer) -> None:
+        window = self.rows[held.task.stage].stage.window
+        self._keep(held.task.id, max(held.task.reached + window, held.limit) + SECOND, out)
+
+    def _keep(self, name: str, until: int, out: Writer) -> None:
+        self.entries[name] = until
+        out.remember(name, until - self.now)
+
+    def _answer_from(self, held: Exec, out: Writer) -> None:
+        held.state = "repeat"
+        out.answer_from_repeat(held.task.id)
+
+    def _unrun(self, held: Exec, out: Writer) -> None:
+        """A held effect went without running: its entry goes, and the next try in line takes its place."""
+        effect = held.effect
+        if effect is None or effect.ran:
+            return
+        if held in effect.followers:
+            effect.followers.remove(held)
+        if effect.holder is held:
+            effect.holder = None
+            if self.entries.pop(held.task.id, None) is not None:
+                out.forget(held.task.id)
+            if effect.followers:
+                effect.holder = effect.followers.pop(0)
+                self._remember(effect.holder, out)
+
+    # ---- answers and ends
+
+    def _reject(self, held: Exec, out: Writer) -> None:
+        stay_away = 0
+        if self.leave_notice is not None or self.cut > BUCKETS * self.levels // 2:
+            stay_away = self.bench.longest_stay_away
+        again = sum(1 for _, _, again in self.arrivals if again)
+        nowhere = self.leave_notice is None and again > RETRY_BUDGET * len(self.arrivals)
+        out.reject(held.task.id, nowhere, stay_away)
+        self._drop(held)
+        self._unrun(held, out)
+
+    def _drop(self, held: Exec) -> None:
+        self.tasks.pop(held.task.id, None)
+        self.memory -= held.task.held_kb
+
+    def _answer_due(self, out: Writer) -> None:
+        """Guards against a task lost: whatever its state, it is answered before its time limit or our end."""
+        leaving = self.leave_by is not None and self.now >= self.leave_by - LEAVE_EARLY
+        for held in list(self.tasks.values()):
+            if held.state == "over" or (self.now < held.limit - ANSWER_EARLY and not leaving):
+                continue
+            if held.state == "held":
+                self._reject(held, out)
+            else:
+                self._give_up(held, out)
+        for name in [name for name, until in self.entries.items() if until <= self.now]:
+            del self.entries[name]
+        for name in [name for name, effect in self.effects.items() if effect.until <= self.now]:
+            del self.effects[name]
+
+    def _give_up(self, held: Exec, out: Writer) -> None:
+        out.abandon(held.task.id)
+        if held.state == "repeat":
+            self._drop(held)
+            return
+        if held in self.at_call:
+            self.at_call.remove(held)
+        self._stop_unwanted(held, out)
+
+    def _stop_unwanted(self, held: Exec, out: Writer) -> None:
+        """Nobody waits for it: what may run again is stopped; an effect goes on, for its repeats' sake."""
+        if held.state == "running" and self.bench.stopping != "none":
+            if self.rows[held.task.stage].effect == "restartable":
+                out.stop(held.task.id)
+        held.state = "over"
+
+    def _gone(self, name: str, out: Writer) -> None:
+        held = self.tasks.get(name)
+        if held is None or held.state == "over":
+            return
+        if held.state in ("held", "repeat"):
+            self._drop(held)
+            self._unrun(held, out)
+        else:
+            if held in self.at_call:
+                self.at_call.remove(held)
+            self._stop_unwanted(held, out)
+
+    def _over(self, name: str, how: str, took: int, out: Writer) -> None:
+        held = self.tasks.pop(name, None)
+        if held is None:
+            return
+        if held in self.at_call:
+            self.at_call.remove(held)
+        if name in self.calling:
+            self._call_ended(name)
+        if held.started:
+            self.running -= 1
+            self.memory -= held.task.held_kb * (self.bench.run_factor - 1)
+        self.memory -= held.task.held_kb
+        if how == "finished" and held.started:
+            self.finishes.append(self.now)
+            self.latencies.append((self.now, self.now - held.task.reached))
+            if self.cap is None and not any(self.violations):
+                self.calm.append(self.now - held.task.reached)
+            self.rows[held.task.stage].pace.append(took / (held.task.work or 1))
+
+    # ---- calls below
+
+    def _make_calls(self, out: Writer) -> None:
+        """Calls have a bound of their own: this server's share of what lies below, as a mean over its span."""
+        bench, now = self.bench, self.now
+        for held in sorted(self.at_call, key=_by_due):
+            stage = self.rows[held.task.stage].stage
+            patience = max(MS, (min(held.due, held.limit) - now) // 2)
+            if bench.below == "shared":
+                since = now - bench.calls_span
+                spent = sum(max(0, until - max(since, begun)) for begun, until in self.calls)
+                spent += sum(now - max(since, begun) for begun in self.calling.values())
+                ahead = (len(self.calling) + 1) * (patience + bench.call_linger)
+                if spent + min(ahead, bench.calls_span * (len(self.calling) + 1)) > (
+                    bench.calls_out * bench.calls_span
+                ) and (self.calling or self.calls and self.calls[-1][1] > since):
+                    if stage.skip_share > 0 and held.state != "over":
+                        out.skip_call(held.task.id)
+                        held.state = "running"
+                        self.at_call.remove(held)
+                    continue
+            self.at_call.remove(held)
+            held.state = "calling" if held.state != "over" else "over"
+            self.calling[held.task.id] = now
+            out.call(held.task.id, patience)
+
+    def _call_ended(self, name: str) -> None:
+        begun = self.calling.pop(name)
+        self.calls.append((begun, self.now + self.bench.call_linger))
+
+    def _call_over(self, name: str, how: str, out: Writer) -> None:
+        held = self.tasks.get(name)
+        if name in self.calling:
+            self._call_ended(name)
+        if held is None or held.state == "over":
+            return
+        held.state = "running"
+        if how == "finished":
+            return
+        row = self.rows[held.task.stage]
+        held.tries += 1
+        unseen = how in ("turned_away", "unreachable")
+        if row.stage.skip_share > 0:
+            out.skip_call(name)
+        elif held.tries <= 3 and self.now < held.due and (row.effect == "restartable" or unseen):
+            held.state = "at_call"  # repeated only where it may be: restartable, or known not to have run
+            self.at_call.append(held)
+        else:
+            out.abandon(name)
+            held.state = "over"
+
+
+def _by_due(held: Exec) -> tuple[int, int]:
+    return held.due, held.task.reached
--- /dev/null
+++ b/thistleline/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The bench wire: parses, calls the module, writes."""
--- /dev/null
+++ b/thistleline/wirehost/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from thistleline.wirehost.host import main
+
+sys.exit(main(sys.stdin, sys.stdout))
--- /dev/null
+++ b/thistleline/wirehost/host.py
@@ -0,0 +1,257 @@
+"""Hosts one module for each instance on the bench's wire: a round of lines in, a reply of lines out."""
+
+import json
+import sys
+from collections.abc import Callable
+from decimal import Decimal, InvalidOperation
+from typing import Any, TextIO
+
+from thistleline.interface import Bench, CameIn, Owner, Stage, Task
+from thistleline.policy import Policy
+
+EFFECTS = {"read_like": "restartable", "idempotency_key": "fingerprinted", "non_idempotent": "side-effecting"}
+STOPPING = {"none": "none", "abort": "loses", "suspend": "pauses"}
+SAYS = {"none": "none", "threshold": "threshold", "window": "window", "share_of": "share"}
+GAUGES = {"core_use": "core_use", "on_cores": "on_cores", "heap_share": "memory_use", "links": "connections"}
+RUN_ENDS = {"OK": "finished", "INTERNAL": "failed", "CANCELLED": "stopped", "TOO_LATE": "moot"}
+CALL_ENDS = {
+    "OK": "finished",
+    "INTERNAL": "failed",
+    "RESOURCE_EXHAUSTED": "turned_away",
+    "DEADLINE_EXCEEDED": "timed_out",
+    "UNAVAILABLE": "unreachable",
+    "ABORTED": "broken_off",
+}
+AGAIN = 2
+HINTED = 1
+
+
+class Malformed(Exception):
+    """A line that the wire does not allow."""
+
+
+def nanos(text: str) -> int:
+    """Decimal seconds to whole nanoseconds, through digits alone so that nothing drifts."""
+    whole, _, part = text.partition(".")
+    if whole.isdigit() and (part.isdigit() or not part):
+        return int(whole) * 1_000_000_000 + int((part + "000000000")[:9])
+    try:
+        return int(Decimal(text) * 1_000_000_000)
+    except (InvalidOperation, ValueError, OverflowError) as error:
+        raise Malformed(f"{text!r} is not a time") from error
+
+
+def seconds(span: int) -> str:
+    micros = max(0, span) // 1000
+    return f"{micros // 1_000_000}.{micros % 1_000_000:06d}"
+
+
+def absent(text: str) -> bool:
+    return text in ("-", "", "0")
+
+
+def read_bench(env: dict[str, Any]) -> Bench:
+    """The settings of BORN in our words."""
+    info, rules, allowed = env["familyInfo"], env["invariants"], env["allowed"]
+
+    def span(value: Any) -> int:
+        return nanos(format(Decimal(str(value)), "f"))
+
+    stages = []
+    for place, row in enumerate(env["classes"]):
+        calls, skips = info.get("classCalls") or [], info.get("classSkipWorth") or []
+        stages.append(
+            Stage(
+                name=row["name"],
+                due_span=span(row["promise"]),
+                due_stretch=float(row.get("aimStretch") or 0.0),
+                limit_span=span(row["deadline"]),
+                window=span(row.get("window") or 0),
+                effect=EFFECTS[row["effect"]],  # type: ignore[arg-type]
+                utility=float(row["credit"]),
+                late_share=float(row.get("lateShare") or 0.0),
+                calls=bool(calls[place]) if place < len(calls) else False,
+                skip_share=float(skips[place]) if place < len(skips) else 0.0,
+            )
+        )
+    owners = [Owner(row["name"], row["portion"], row["allowancePerS"]) for row in env.get("projects") or []]
+    return Bench(
+        stages=tuple(stages),
+        owners=tuple(owners),
+        cores=int(info["cpus"]),
+        memory_kb=float(info["memoryKb"]),
+        run_factor=float(info["blowup"]),
+        key_kb=float(info["keyKb"]),
+        servers=int(env["groupSize"]),
+        callers=int(info["upstreams"]),
+        fresh=bool(info["freshStart"]),
+        cold_from=float(rules["coldFrom"]),
+        cold_span=span(rules["cold"]),
+        crowd_bound=float(rules["fallMultiple"]),
+        crowd_span=span(rules["fall"]),
+        answer_slack=span(rules["graceToAnswer"]),
+        drain_grace=span(rules["drainGrace"]),
+        stopping=STOPPING[info["halt"]],  # type: ignore[arg-type]
+        tells_limit=bool(info.get("passesDeadline")),
+        tells_gone=bool(info.get("tellsGone")),
+        marks_repeats=bool(env["clientHabits"]["marksRetry"]),
+        says=SAYS[info["say"]],  # type: ignore[arg-type]
+        list_follows_health=bool(info.get("listFollows")),
+        longest_stay_away=span(allowed["maxRetryAfter"]) if allowed.get("retryAfter") else 0,
+        over_share_utility=float(env["overShareWorth"]),
+        answer_fresh_for=span(info.get("freshFor") or 0),
+        below=info["dependsOn"],
+        calls_out=float(info["callsOut"]),
+        calls_span=span(info["shareSpan"]),
+        call_linger=span(info["staysFor"]),
+    )
+
+
+class LineWriter:
+    """Turns each decision into its line at once."""
+
+    def __init__(self, instance: str, put: Callable[[str], None]) -> None:
+        self.instance = instance
+        self.put = put
+
+    def start(self, task: str) -> None:
+        self.put(f"ADMIT\t{self.instance}\t{task}\n")
+
+    def stop(self, task: str) -> None:
+        self.put(f"PREEMPT\t{self.instance}\t{task}\n")
+
+    def reject(self, task: str, nowhere_else: bool, stay_away: int) -> None:
+        self.put(f"REFUSE\t{self.instance}\t{task}\t{int(nowhere_else)}\t{seconds(stay_away)}\n")
+
+    def abandon(self, task: str) -> None:
+        self.put(f"REPORT_FAILURE\t{self.instance}\t{task}\n")
+
+    def answer_from_repeat(self, task: str) -> None:
+        self.put(f"REPLAY\t{self.instance}\t{task}\n")
+
+    def remember(self, task: str, span: int) -> None:
+        self.put(f"RETAIN\t{self.instance}\t{task}\t{seconds(span)}\n")
+
+    def forget(self, task: str) -> None:
+        self.put(f"UNPIN\t{self.instance}\t{task}\n")
+
+    def call(self, task: str, patience: int) -> None:
+        self.put(f"GO_CALL\t{self.instance}\t{task}\t{seconds(patience)}\n")
+
+    def skip_call(self, task: str) -> None:
+        self.put(f"SKIP\t{self.instance}\t{task}\n")
+
+    def health(self, good: bool, from_store: bool) -> None:
+        self.put(f"STATUS\t{self.instance}\t{int(good)}\t{int(from_store)}\n")
+
+    def say(self, value: float) -> None:
+        self.put(f"STAMP\t{self.instance}\t{value:.6f}\n")
+
+    def close_idle(self, span: int) -> None:
+        self.put(f"IDLE_LIMIT\t{self.instance}\t{seconds(span)}\n")
+
+    def alarm(self, name: str, span: int) -> None:
+        self.put(f"SET_ALARM\t{self.instance}\t{name}\t{seconds(span)}\n")
+
+    def note(self, text: str) -> None:
+        self.put(f"PRINT\t{self.instance}\t{' '.join(text.split())}\n")
+
+
+class Host:
+    def __init__(self) -> None:
+        self.modules: dict[str, Policy] = {}
+        self.gauges: dict[str, list[str]] = {}
+
+    def round(self, now: int, lines: list[list[str]], put: Callable[[str], None]) -> None:
+        """Gathers a round's lines by instance, in order, and calls each instance's module once."""
+        came_in: dict[str, list[CameIn]] = {}
+        for parts in lines:
+            word, instance = parts[0], parts[1]
+            if word == "KILL":
+                self.modules.pop(instance, None)
+                came_in.pop(instance, None)
+            elif word == "BORN":
+                env = json.loads("\t".join(parts[3:]))
+                self.gauges[instance] = [GAUGES.get(name, name) for name in env["familyInfo"]["gauges"]]
+                self.modules[instance] = Policy(read_bench(env), int(parts[2]), now)
+                came_in[instance] = []
+            elif instance not in self.modules:
+                raise Malformed(f"{word} for {instance}, which was never born")
+            else:
+                item = self.item(now, word, parts)
+                if item is not None:
+                    came_in.setdefault(instance, []).append(item)
+        for instance, items in came_in.items():
+            try:
+                self.modules[instance].round(now, items, LineWriter(instance, put))
+            except Exception as error:
+                put(f"BROKEN\t{instance}\t{type(error).__name__}: {' '.join(str(error).split())}\n")
+
+    def item(self, now: int, word: str, parts: list[str]) -> CameIn | None:
+        if word == "QUERY":
+            _, _, name, hint, owner, stage, bits, author, kb, limit, user, waited, repeats, rank = parts[:14]
+            flags = 0 if absent(bits) else int(bits)
+            hinted = flags & HINTED and not absent(hint)
+            return (
+                "task",
+                Task(
+                    id=name,
+                    stage=int(stage),
+                    owner=0 if absent(owner) else int(owner),
+                    caller=0 if absent(author) else int(author),
+                    rank=0.0 if absent(rank) else float(rank),
+                    user=None if user in ("-", "") else int(user),
+                    work=nanos(hint) if hinted else None,
+                    held_kb=float(kb),
+                    reached=now - (0 if absent(waited) else nanos(waited)),
+                    limit=None if absent(limit) else nanos(limit) or None,
+                    again=bool(flags & AGAIN),
+                    repeats=None if absent(repeats) else repeats,
+                ),
+            )
+        if word == "BELL":
+            row = parts[3].split(",") if len(parts) > 3 and parts[3] not in ("-", "") else []
+            values = (0.0 if absent(text) else float(text) for text in row)
+            return ("bell", parts[2], dict(zip(self.gauges[parts[1]], values, strict=False)))
+        if word == "DONE":
+            return ("over", parts[2], RUN_ENDS[parts[3]], 0 if absent(parts[4]) else nanos(parts[4]))
+        if word == "EXPIRED":
+            return ("gone", parts[2])
+        if word == "NEEDS":
+            return ("wants_call", parts[2])
+        if word == "DEP_REPLY":
+            return ("call_over", parts[2], CALL_ENDS[parts[3]], 0 if absent(parts[4]) else nanos(parts[4]))
+        if word == "TERMINATE_SOON":
+            return ("leave", nanos(parts[2]))
+        return None
+
+
+def main(source: TextIO, sink: TextIO) -> int:
+    host = Host()
+    lines: list[list[str]] = []
+    clock: tuple[int, str] | None = None
+    number = 0
+    try:
+        for number, line in enumerate(source, 1):
+            parts = line.rstrip("\r\n").split("\t")
+            if parts[0] == "ROUND":
+                clock, lines = (nanos(parts[1]), parts[2]), []
+            elif parts[0] == "EOB":
+                if clock is None:
+                    raise Malformed("EOB without ROUND")
+                out: list[str] = []
+                host.round(clock[0], lines, out.append)
+                out.append(f"EOR\t{clock[1]}\n")
+                sink.write("".join(out))
+                sink.flush()
+                clock = None
+            elif parts != [""]:
+                if clock is None:
+                    raise Malformed(f"{parts[0][:40]!r} outside a round")
+                if len(parts) < 2:
+                    raise Malformed(f"{parts[0][:40]!r} names no instance")
+                lines.append(parts)
+    except (Malformed, ValueError, KeyError, IndexError, TypeError, ArithmeticError) as error:
+        print(f"line {number}: {type(error).__name__}: {' '.join(str(error).split())}", file=sys.stderr)
+        return 2
+    return 0
