--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from random import Random
-from statistics import fmean, median
+from statistics import fmean
 
 from thistleline.interface import Bench, CameIn, Task, Writer
 
@@ -39,7 +39,7 @@
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
 CROWD_GUARD = 0.7  # part of the crowd bound, at the present warmth, that is used
 MEMORY_GUARD = 0.9
-PACE_SAMPLES = 9
+PACE_SAMPLES, PACE_LOW = 12, 0.25  # run times kept a stage; the percentile of them that is trusted
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
 RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
@@ -208,8 +208,10 @@
         return int((part - int(part)) * BUCKETS) % BUCKETS
 
     def _estimate(self, task: Task) -> int:
-        pace = self.rows[task.stage].pace
-        return int(median(pace) * (task.work or 1)) if pace else 0
+        """The least time a run should take. Guards against giving up on big tasks that would have made it:
+        waits off the cores do not grow with the work, so a middling pace overrates them."""
+        pace = sorted(self.rows[task.stage].pace)
+        return int(pace[int(PACE_LOW * len(pace))] * (task.work or 1)) if pace else 0
 
     def _room(self) -> int:
         """How many may run: the grown limit, under the crowd survived before and the guard for the cores."""
