Feed the wait of unread tasks to the detector and the stay-away advice

Guards also against any storm of further tries. Could harm where a caller is the only one and stays away from a server with a short jam.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -42,6 +42,7 @@
 PACE_SAMPLES, PACE_LOW = 12, 0.25  # run times kept a stage; the percentile of them that is trusted
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
+UNREAD_BEARABLE = 150 * MS  # lying unread this long is no jam yet
 RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
 
 
@@ -105,6 +106,7 @@
         self.latencies: deque[tuple[int, int]] = deque(maxlen=SLOW)
         self.calm: deque[int] = deque(maxlen=SLOW)
         self.peaks: deque[float] = deque(maxlen=CROWD_WINDOWS)
+        self.unread: deque[tuple[int, int]] = deque(maxlen=64)  # when read, how long it had lain unread
         self.ticks = 0
         self.on_cores = 0.0
         # cap and cut
@@ -173,6 +175,7 @@
             self.tasks[task.id] = held
             self.memory += task.held_kb
             self.arrivals.append((now, place, task.again))
+            self.unread.append((now, now - task.reached))
             if stage.effect == "fingerprinted" and self._joins(held, out):
                 continue
             if stage.effect == "restartable" and task.repeats is not None:
@@ -257,7 +260,9 @@
         now, bench = self.now, self.bench
         self.on_cores = gauges.get("on_cores", float(self.running))
         self.queue_samples.append(self.on_cores / bench.cores)
-        worst = 0.0
+        # Rejected tasks never enter the hold, so the wait of the unread is told by those just read. Guards
+        # against a jam of reading, which the run limit can't relieve and the hold doesn't show.
+        worst = self._unread_wait() / min(row.stage.due_span for row in self.rows)
         for held in self.tasks.values():
             if held.state == "held":
                 spare = held.due - self._estimate(held.task) - held.task.reached
@@ -280,6 +285,10 @@
         if self.on_cores > crowd:
             self.limit = max(float(bench.cores), min(self.limit, self.running) - 1)
 
+    def _unread_wait(self) -> int:
+        recent = [waited for when, waited in self.unread if when > self.now - WINDOW * TICK]
+        return sorted(recent)[len(recent) // 2] if recent else 0
+
     def _confirmed(self) -> bool:
         """Fast latency over the slow one. What is in hand counts by its age, so a standstill shows."""
         now = self.now
@@ -404,9 +413,12 @@
     # ---- answers and ends
 
     def _reject(self, held: Exec, out: Writer) -> None:
-        stay_away = 0
+        # What is turned away comes back when what lies unread has been read: a rejection costs a reading too,
+        # so a jam of reading ends only if less is sent. Guards against storms of further tries.
+        stay_away = self._unread_wait()
         if self.leave_notice is not None or self.cut > BUCKETS * self.levels // 2:
             stay_away = self.bench.longest_stay_away
+        stay_away = 0 if stay_away < UNREAD_BEARABLE else min(stay_away, self.bench.longest_stay_away)
         again = sum(1 for _, _, again in self.arrivals if again)
         nowhere = self.leave_notice is None and again > RETRY_BUDGET * len(self.arrivals)
         out.reject(held.task.id, nowhere, stay_away)
