--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -292,8 +292,9 @@
     def _confirmed(self) -> bool:
         """Fast latency over the slow one. What is in hand counts by its age, so a standstill shows."""
         now = self.now
-        fast = [took for when, took in self.latencies if when > now - FAST]
         slow = fmean(self.calm) if len(self.calm) >= CALM_SAMPLES else 0.0
+        fast = [took for when, took in self.latencies if when > now - FAST]
+        fast += [waited for when, waited in self.unread if when > now - FAST and waited > slow]
         fast += [
             age
             for held in self.tasks.values()
