--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -35,6 +35,8 @@
 BUCKETS = 16  # user buckets in a level
 CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
 
+CUT_CLIMB = 4  # buckets that a window in a firing adds
+
 START_CROWD = 1.5  # running tasks a core before there is history
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
 CROWD_GUARD = 0.7  # part of the crowd bound, at the present warmth, that is used
@@ -343,7 +345,8 @@
                 self.changed = now
         wanted = self._cut_for(self.cap) if self.cap is not None else 0
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
-        self.cut = max(wanted, self.cut - fall)
+        climbed = self.cut + CUT_CLIMB if firing else self.cut - fall
+        self.cut = max(wanted, min(climbed, BUCKETS * self.levels))
         if self.bench.says == "threshold" and self.leave_notice is None:
             value = self.cut / (BUCKETS * self.levels)
             if value != self.said:
