--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -35,7 +35,7 @@
 BUCKETS = 16  # user buckets in a level
 CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
 
-CUT_CLIMB = 4  # buckets that a window in a firing adds
+AWAY_FIRST, AWAY_LAST = 4 * SECOND, 16 * SECOND  # off the list, doubled each time
 
 START_CROWD = 1.5  # running tasks a core before there is history
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
@@ -121,6 +121,7 @@
         self.changed = self.fired = now
         self.cut = 0
         self.said = 0.0
+        self.healthy, self.back_at, self.away_for = True, now, AWAY_FIRST
         # calls
         self.at_call: list[Exec] = []
         self.calls: deque[tuple[int, int]] = deque(maxlen=512)  # from, until of those over
@@ -343,16 +344,30 @@
                 self.before_probe = self.cap
                 self.cap *= PROBE_STEP
                 self.changed = now
+        self._tell_health(out)
         wanted = self._cut_for(self.cap) if self.cap is not None else 0
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
-        climbed = self.cut + CUT_CLIMB if firing else self.cut - fall
-        self.cut = max(wanted, min(climbed, BUCKETS * self.levels))
+        self.cut = max(wanted, self.cut - fall)
         if self.bench.says == "threshold" and self.leave_notice is None:
             value = self.cut / (BUCKETS * self.levels)
             if value != self.said:
                 self.said = value
                 out.say(value)
 
+    def _tell_health(self, out: Writer) -> None:
+        """Leaves the list while what is read has lain past any due time. Guards against a server so slow that
+        reading alone fills it, whatever slowed it; does harm if the whole fleet is that late at once."""
+        if not self.bench.list_follows_health or self.leave_notice is not None:
+            return
+        jammed = self._unread_wait() > min(row.stage.due_span for row in self.rows)
+        if self.healthy and jammed:
+            self.healthy, self.back_at = False, self.now + self.away_for
+            self.away_for = min(AWAY_LAST, self.away_for * 2)
+            out.health(False, True)
+        elif not self.healthy and not jammed and self.now >= self.back_at:
+            self.healthy = True
+            out.health(True, True)
+
     def _cut_for(self, cap: float) -> int:
         """The lowest cut whose rest fits the cap; empty levels and buckets are skipped."""
         spare = self._arriving() - cap
