--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -35,13 +35,12 @@
 BUCKETS = 16  # user buckets in a level
 CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
 
-AWAY_FIRST, AWAY_LAST = 4 * SECOND, 16 * SECOND  # off the list, doubled each time
-
 START_CROWD = 1.5  # running tasks a core before there is history
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
 CROWD_GUARD = 0.7  # part of the crowd bound, at the present warmth, that is used
 MEMORY_GUARD = 0.9
-PACE_SAMPLES, PACE_LOW = 12, 0.25  # run times kept a stage; the percentile of them that is trusted
+PACE_SAMPLES, SLOWNESS_SAMPLES = 48, 8  # calm run times kept a stage; recent runs over these, all stages
+TRUSTED = 0.25  # the percentile of both that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
 UNREAD_BEARABLE = 150 * MS  # lying unread this long is no jam yet
@@ -76,13 +75,14 @@
 class Row:
     """What the module reads of a stage."""
 
-    __slots__ = ("effect", "level", "pace", "stage")
+    __slots__ = ("effect", "level", "pace", "stage", "usual")
 
     def __init__(self, bench: Bench, place: int) -> None:
         self.stage = bench.stages[place]
         self.effect = self.stage.effect
         self.level = sorted({stage.utility for stage in bench.stages}).index(self.stage.utility)
         self.pace: deque[float] = deque(maxlen=PACE_SAMPLES)  # run time for each ns of hinted work
+        self.usual = 0.0  # the trusted percentile of the pace
 
 
 class Policy:
@@ -109,6 +109,7 @@
         self.calm: deque[int] = deque(maxlen=SLOW)
         self.peaks: deque[float] = deque(maxlen=CROWD_WINDOWS)
         self.unread: deque[tuple[int, int]] = deque(maxlen=64)  # when read, how long it had lain unread
+        self.slowness: deque[float] = deque(maxlen=SLOWNESS_SAMPLES)  # recent runs over their stage's usual pace
         self.ticks = 0
         self.on_cores = 0.0
         # cap and cut
@@ -121,7 +122,6 @@
         self.changed = self.fired = now
         self.cut = 0
         self.said = 0.0
-        self.healthy, self.back_at, self.away_for = True, now, AWAY_FIRST
         # calls
         self.at_call: list[Exec] = []
         self.calls: deque[tuple[int, int]] = deque(maxlen=512)  # from, until of those over
@@ -216,8 +216,9 @@
     def _estimate(self, task: Task) -> int:
         """The least time a run should take. Guards against giving up on big tasks that would have made it:
         waits off the cores do not grow with the work, so a middling pace overrates them."""
-        pace = sorted(self.rows[task.stage].pace)
-        return int(pace[int(PACE_LOW * len(pace))] * (task.work or 1)) if pace else 0
+        slowness = sorted(self.slowness)
+        times = slowness[int(TRUSTED * len(slowness))] if slowness else 1.0
+        return int(self.rows[task.stage].usual * times * (task.work or 1))
 
     def _room(self) -> int:
         """How many may run: the grown limit, under the crowd survived before and the guard for the cores."""
@@ -344,7 +345,6 @@
                 self.before_probe = self.cap
                 self.cap *= PROBE_STEP
                 self.changed = now
-        self._tell_health(out)
         wanted = self._cut_for(self.cap) if self.cap is not None else 0
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
         self.cut = max(wanted, self.cut - fall)
@@ -354,20 +354,6 @@
                 self.said = value
                 out.say(value)
 
-    def _tell_health(self, out: Writer) -> None:
-        """Leaves the list while what is read has lain past any due time. Guards against a server so slow that
-        reading alone fills it, whatever slowed it; does harm if the whole fleet is that late at once."""
-        if not self.bench.list_follows_health or self.leave_notice is not None:
-            return
-        jammed = self._unread_wait() > min(row.stage.due_span for row in self.rows)
-        if self.healthy and jammed:
-            self.healthy, self.back_at = False, self.now + self.away_for
-            self.away_for = min(AWAY_LAST, self.away_for * 2)
-            out.health(False, True)
-        elif not self.healthy and not jammed and self.now >= self.back_at:
-            self.healthy = True
-            out.health(True, True)
-
     def _cut_for(self, cap: float) -> int:
         """The lowest cut whose rest fits the cap; empty levels and buckets are skipped."""
         spare = self._arriving() - cap
@@ -508,7 +494,12 @@
             self.latencies.append((self.now, self.now - held.task.reached))
             if self.cap is None and not any(self.violations):
                 self.calm.append(self.now - held.task.reached)
-            self.rows[held.task.stage].pace.append(took / (held.task.work or 1))
+            row, pace = self.rows[held.task.stage], took / (held.task.work or 1)
+            if row.usual:
+                self.slowness.append(pace / row.usual)
+            if self.cap is None or len(row.pace) < SLOWNESS_SAMPLES:
+                row.pace.append(pace)
+                row.usual = sorted(row.pace)[int(TRUSTED * len(row.pace))]
 
     # ---- calls below
 
