--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -40,7 +40,7 @@
 CROWD_GUARD = 0.7  # part of the crowd bound, at the present warmth, that is used
 MEMORY_GUARD = 0.9
 PACE_SAMPLES, SLOWNESS_SAMPLES = 48, 8  # calm run times kept a stage; recent runs over these, all stages
-TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts; of slowness, the least
+TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
 UNREAD_BEARABLE = 150 * MS  # lying unread this long is no jam yet
@@ -214,9 +214,11 @@
         return int((part - int(part)) * BUCKETS) % BUCKETS
 
     def _estimate(self, task: Task) -> int:
-        """The least time a run should take. Guards against giving up on big tasks that would have made it:
-        waits off the cores do not grow with the work, so a middling pace overrates them."""
-        times = min(self.slowness, default=1.0)
+        """The time a run should take: hopefully while there is room for all, soberly once a cap stands, when
+        the room belongs to those that will make it. Guards against giving up on big tasks in quiet hours
+        (waits off the cores do not grow with the work, so a middling pace overrates them)."""
+        slowness = sorted(self.slowness) or [1.0]
+        times = slowness[0 if self.cap is None else len(slowness) // 2]
         return int(self.rows[task.stage].usual * times * (task.work or 1))
 
     def _room(self) -> int:
