--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -218,7 +218,7 @@
         the room belongs to those that will make it. Guards against giving up on big tasks in quiet hours
         (waits off the cores do not grow with the work, so a middling pace overrates them)."""
         slowness = sorted(self.slowness) or [1.0]
-        times = slowness[0 if self.cap is None else len(slowness) // 2]
+        times = slowness[0 if self.cap is None else len(slowness) // 4]
         return int(self.rows[task.stage].usual * times * (task.work or 1))
 
     def _room(self) -> int:
