--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -20,7 +20,7 @@
 HIGH = 0.9  # the percentile of a window that counts
 FIRE_AFTER = 3  # consecutive windows in violation that make a firing
 QUEUE_PER_CORE = 2.0  # run queue per core in violation
-INFLECTION = 0.5  # part of a held task's spare time that is gone, in violation
+INFLECTION = 0.25  # part of a held task's spare time that is gone, in violation
 FAST, SLOW = SECOND, 200  # span of the fast latency average; calm samples in the slow one
 CROSSING = 1.3  # the fast average must pass the slow one times this
 CALM_SAMPLES = 12  # fewer calm samples than this are no history
@@ -35,9 +35,6 @@
 BUCKETS = 16  # user buckets in a level
 CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
 
-REJECTS_BEARABLE = 0.4  # part of the arrivals turned away past which callers are asked to stay away
-ADVICE_RATE = 4.0  # times a second that each caller then hears it
-
 START_CROWD = 1.5  # running tasks a core before there is history
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
 CROWD_GUARD = 0.7  # part of the crowd bound, at the present warmth, that is used
@@ -118,7 +115,6 @@
         # cap and cut
         self.limit = float(bench.cores)
         self.finishes: deque[int] = deque(maxlen=512)
-        self.rejections: deque[int] = deque(maxlen=1024)
         self.arrivals: deque[tuple[int, int, bool]] = deque(maxlen=2048)
         self.cap: float | None = None
         self.before_probe: float | None = None
@@ -425,17 +421,10 @@
     def _reject(self, held: Exec, out: Writer) -> None:
         # What is turned away comes back when what lies unread has been read: a rejection costs a reading too,
         # so a jam of reading ends only if less is sent. Guards against storms of further tries.
-        longest = self.bench.longest_stay_away
         stay_away = self._unread_wait()
-        arriving = max(1.0, self._arriving())
-        share = min(1.0, sum(1 for when in self.rejections if when > self.now - SECOND) / arriving)
-        heard = share * ADVICE_RATE * self.bench.callers / arriving
-        if self.leave_notice is not None:
-            stay_away = longest
-        elif share > REJECTS_BEARABLE and self.chance() < heard:
-            stay_away = int(longest * share)
-        stay_away = 0 if stay_away < UNREAD_BEARABLE else min(stay_away, longest)
-        self.rejections.append(self.now)
+        if self.leave_notice is not None or self.cut > BUCKETS * self.levels // 2:
+            stay_away = self.bench.longest_stay_away
+        stay_away = 0 if stay_away < UNREAD_BEARABLE else min(stay_away, self.bench.longest_stay_away)
         again = sum(1 for _, _, again in self.arrivals if again)
         nowhere = self.leave_notice is None and again > RETRY_BUDGET * len(self.arrivals)
         out.reject(held.task.id, nowhere, stay_away)
