Take a task that finds a free core and an empty hold, whatever the cut

Should also guard against any cap seeded too low. Could harm if reading alone jams while cores look free.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -111,6 +111,7 @@
         self.unread: deque[tuple[int, int]] = deque(maxlen=64)  # when read, how long it had lain unread
         self.slowness: deque[float] = deque(maxlen=SLOWNESS_SAMPLES)  # recent runs over their stage's usual pace
         self.ticks = 0
+        self.waiting = 0  # held at the end of the last round, and taken since
         self.on_cores = 0.0
         # cap and cut
         self.limit = float(bench.cores)
@@ -186,15 +187,20 @@
                 if other is None or other.state == "running":
                     self._answer_from(held, out)
                     continue
-            if limit - ANSWER_EARLY <= now or self._too_late_to_run(task) or place < self.cut:
+            # A core free at once is proof that there is no overload now, whatever the cap learned a second ago:
+            # guards against a cut that outlives its crowd when callers shift between servers.
+            idle = not self.waiting and max(self.running, self.on_cores) < bench.cores
+            if limit - ANSWER_EARLY <= now or self._too_late_to_run(task) or (place < self.cut and not idle):
                 self._reject(held, out)
             elif self._memory_short(bench.key_kb if held.effect else 0.0):
                 self._reject(held, out)  # memory: what was read last gives way, never the table of what ran
-            elif held.effect is not None:
-                self._remember(held, out)
+            else:
+                self.waiting += 1
+                if held.effect is not None:
+                    self._remember(held, out)
 
-        waiting = sorted((held for held in self.tasks.values() if held.state == "held"), key=_by_due)
-        for held in waiting:
+        held_now = sorted((held for held in self.tasks.values() if held.state == "held"), key=_by_due)
+        for held in held_now:
             if held.effect is not None and held.effect.holder is not held:
                 continue
             if now + self._estimate(held.task) > held.due and (self.running > 0 or now >= held.due):
@@ -205,6 +211,7 @@
             if self._memory_short(held.task.held_kb * (bench.run_factor - 1)):
                 continue
             self._start(held, out)
+        self.waiting = sum(1 for held in held_now if held.state == "held")
 
     def _bucket(self, task: Task) -> int:
         """The user's bucket, the same in every server and life: the hashed key, or the rank if keyless."""
