Within a level, shed first the users of an owner beyond its share

Should also guard against a single studio's runaway script. Could harm an owner whose callers all keep to this server.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -31,6 +31,7 @@
 PROBE_FIRST, PROBE_LAST = SECOND, 8 * SECOND
 SETTLE = SECOND  # a firing sooner than this after a change of the cap is the old crowd's
 LIFT_AFTER = 4 * SECOND  # calm this long lifts the cap
+SHARE_SPAN, SHARE_SLACK = 4 * SECOND, 1.2  # an owner is beyond its share past this many times it, over this span
 ARRIVALS_SPAN = 3 * SECOND
 BUCKETS = 16  # user buckets in a level
 CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
@@ -117,6 +118,8 @@
         self.limit = float(bench.cores)
         self.finishes: deque[int] = deque(maxlen=512)
         self.arrivals: deque[tuple[int, int, bool]] = deque(maxlen=2048)
+        self.asked: list[deque[int]] = [deque(maxlen=256) for _ in bench.owners]  # first tries by owner
+        self.over = [0.0 for _ in bench.owners]  # part of an owner's traffic that is beyond its share
         self.cap: float | None = None
         self.before_probe: float | None = None
         self.probe_wait = PROBE_FIRST
@@ -174,11 +177,15 @@
             stage = row.stage
             limit = task.limit if task.limit is not None else task.reached + stage.limit_span
             due = task.reached + stage.due_span + int(stage.due_stretch * (task.work or 0))
-            place = row.level * BUCKETS + self._bucket(task)
+            bucket = self._bucket(task)
+            within = int(bucket >= self.over[task.owner] * BUCKETS) if self.over else 1
+            place = (2 * row.level + within) * BUCKETS + bucket
             held = Exec(task, min(due, limit), limit, place)
             self.tasks[task.id] = held
             self.memory += task.held_kb
             self.arrivals.append((now, place, task.again))
+            if not task.again and task.owner < len(self.over):
+                self.asked[task.owner].append(now)
             self.unread.append((now, now - task.reached))
             if stage.effect == "fingerprinted" and self._joins(held, out):
                 continue
@@ -353,15 +360,26 @@
                 self.before_probe = self.cap
                 self.cap *= PROBE_STEP
                 self.changed = now
+        self._weigh_owners()
         wanted = self._cut_for(self.cap) if self.cap is not None else 0
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
         self.cut = max(wanted, self.cut - fall)
         if self.bench.says == "threshold" and self.leave_notice is None:
-            value = self.cut / (BUCKETS * self.levels)
+            level, part = divmod(self.cut, 2 * BUCKETS)
+            value = (level + max(0, part - BUCKETS) / BUCKETS) / self.levels
             if value != self.said:
                 self.said = value
                 out.say(value)
 
+    def _weigh_owners(self) -> None:
+        """The part of each owner's traffic beyond its share, taking this server for one of equals."""
+        since = self.now - SHARE_SPAN
+        for place, (owner, asked) in enumerate(zip(self.bench.owners, self.asked, strict=True)):
+            while asked and asked[0] <= since:
+                asked.popleft()
+            asking = len(asked) * SECOND / SHARE_SPAN * self.bench.servers
+            self.over[place] = max(0.0, 1.0 - owner.allowance * SHARE_SLACK / max(asking, 1e-9))
+
     def _cut_for(self, cap: float) -> int:
         """The lowest cut whose rest fits the cap; empty levels and buckets are skipped."""
         spare = self._arriving() - cap
@@ -374,7 +392,7 @@
                 break
             spare -= counts[place] * SECOND / ARRIVALS_SPAN
             cut = place + 1
-        return min(cut, BUCKETS * self.levels - 1)
+        return min(cut, 2 * BUCKETS * self.levels - 1)
 
     # ---- effects
 
@@ -429,7 +447,7 @@
         # What is turned away comes back when what lies unread has been read: a rejection costs a reading too,
         # so a jam of reading ends only if less is sent. Guards against storms of further tries.
         stay_away = self._unread_wait()
-        if self.leave_notice is not None or self.cut > BUCKETS * self.levels // 2:
+        if self.leave_notice is not None or self.cut > BUCKETS * self.levels:
             stay_away = self.bench.longest_stay_away
         stay_away = 0 if stay_away < UNREAD_BEARABLE else min(stay_away, self.bench.longest_stay_away)
         again = sum(1 for _, _, again in self.arrivals if again)
