--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -44,7 +44,7 @@
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
-UNREAD_BEARABLE = 150 * MS  # lying unread this long is no jam yet
+UNREAD_BEARABLE = 0.25  # part of the shortest due span that a task may lie unread before it is a jam
 RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
 
 
@@ -92,6 +92,7 @@
         self.chance = Random(seed).random
         self.rows = [Row(bench, place) for place in range(len(bench.stages))]
         self.levels = max((row.level for row in self.rows), default=0) + 1
+        self.due_span = min(stage.due_span for stage in bench.stages)
         self.born = now
         self.begun = False
         self.now = now
@@ -281,7 +282,7 @@
         self.queue_samples.append(self.on_cores / bench.cores)
         # Rejected tasks never enter the hold, so the wait of the unread is told by those just read. Guards
         # against a jam of reading, which the run limit can't relieve and the hold doesn't show.
-        worst = self._unread_wait() / min(row.stage.due_span for row in self.rows)
+        worst = self._unread_wait() / self.due_span
         for held in self.tasks.values():
             if held.state == "held":
                 spare = held.due - self._estimate(held.task) - held.task.reached
@@ -449,7 +450,9 @@
         stay_away = self._unread_wait()
         if self.leave_notice is not None or self.cut > BUCKETS * self.levels:
             stay_away = self.bench.longest_stay_away
-        stay_away = 0 if stay_away < UNREAD_BEARABLE else min(stay_away, self.bench.longest_stay_away)
+        if stay_away < UNREAD_BEARABLE * self.due_span:
+            stay_away = 0
+        stay_away = min(stay_away, self.bench.longest_stay_away)
         again = sum(1 for _, _, again in self.arrivals if again)
         nowhere = self.leave_notice is None and again > RETRY_BUDGET * len(self.arrivals)
         out.reject(held.task.id, nowhere, stay_away)
