--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -34,7 +34,7 @@
 SHARE_SPAN, SHARE_SLACK = 4 * SECOND, 1.2  # an owner past this many times its share is beyond it
 ARRIVALS_SPAN = 3 * SECOND
 BUCKETS = 16  # user buckets in a level
-CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
+CUT_FALL = 4 * SECOND  # the cut comes down a bucket at a time, a whole level in this long
 
 START_CROWD = 1.5  # running tasks a core before there is history
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
@@ -44,7 +44,7 @@
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
-UNREAD_BEARABLE = 0.25  # part of the shortest due span that a task may lie unread before it is a jam
+UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
 
 
