--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -366,12 +366,18 @@
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
         self.cut = max(wanted, self.cut - fall)
         if self.bench.says == "threshold" and self.leave_notice is None:
-            level, part = divmod(self.cut, 2 * BUCKETS)
-            value = (level + max(0, part - BUCKETS) / BUCKETS) / self.levels
+            value = self._rank_at(self.cut)
             if value != self.said:
                 self.said = value
                 out.say(value)
 
+    def _rank_at(self, cut: int) -> float:
+        """The rank under which the cut lies: stages take equal parts of the ranks in order of utility."""
+        level, part = divmod(cut, 2 * BUCKETS)
+        under = sum(1 for row in self.rows if row.level < level)
+        at = sum(1 for row in self.rows if row.level == level)
+        return (under + at * max(0, part - BUCKETS) / BUCKETS) / len(self.rows)
+
     def _weigh_owners(self) -> None:
         """The part of each owner's traffic beyond its share, taking this server for one of equals."""
         since = self.now - SHARE_SPAN
