--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -34,7 +34,7 @@
 SHARE_SPAN, SHARE_SLACK = 4 * SECOND, 1.2  # an owner past this many times its share is beyond it
 ARRIVALS_SPAN = 3 * SECOND
 BUCKETS = 16  # user buckets in a level
-CUT_FALL = 4 * SECOND  # the cut comes down a bucket at a time, a whole level in this long
+CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
 
 START_CROWD = 1.5  # running tasks a core before there is history
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
