Keep the level sent back at six tenths of the cut

Cause: callers withhold what this server never sees, so a level at the cut asks twice. Could harm where few callers heed it and reading is dear.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -44,6 +44,7 @@
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
+SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
 
@@ -366,7 +367,7 @@
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
         self.cut = max(wanted, self.cut - fall)
         if self.bench.says == "threshold" and self.leave_notice is None:
-            value = self._rank_at(self.cut)
+            value = self._rank_at(self.cut) * SAY_PART
             if value != self.said:
                 self.said = value
                 out.say(value)
