--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -44,7 +44,7 @@
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
-SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
+SAY_PART = 0.35  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
 
