--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -44,8 +44,9 @@
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
-SAY_PART = 0.35  # of the cut; what callers withhold is unseen here, so the level stays well under it
+SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
+USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
 
 
@@ -460,12 +461,20 @@
         if stay_away < UNREAD_BEARABLE * self.due_span:
             stay_away = 0
         stay_away = min(stay_away, self.bench.longest_stay_away)
-        again = sum(1 for _, _, again in self.arrivals if again)
-        nowhere = self.leave_notice is None and again > RETRY_BUDGET * len(self.arrivals)
-        out.reject(held.task.id, nowhere, stay_away)
+        out.reject(held.task.id, self._widespread(), stay_away)
         self._drop(held)
         self._unrun(held, out)
 
+    def _widespread(self) -> bool:
+        """Whether elsewhere is no better: further tries beyond a budget or, where they bear no mark, a cap
+        while this server runs at its usual pace, so that what is too much is what is sent, not what is slow."""
+        if self.leave_notice is not None:
+            return False
+        if self.bench.marks_repeats:
+            return sum(1 for _, _, again in self.arrivals if again) > RETRY_BUDGET * len(self.arrivals)
+        slowness = sorted(self.slowness)
+        return self.cap is not None and bool(slowness) and slowness[len(slowness) // 2] < USUAL_PACE
+
     def _drop(self, held: Exec) -> None:
         self.tasks.pop(held.task.id, None)
         self.memory -= held.task.held_kb
