--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -46,6 +46,7 @@
 LEAVE_EARLY = 200 * MS
 SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
+WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET = 0.2  # marked repeats among recent arrivals past which elsewhere is no better
 
@@ -120,6 +121,7 @@
         # cap and cut
         self.limit = float(bench.cores)
         self.finishes: deque[int] = deque(maxlen=512)
+        self.rejections: deque[int] = deque(maxlen=1024)
         self.arrivals: deque[tuple[int, int, bool]] = deque(maxlen=2048)
         self.asked: list[deque[int]] = [deque(maxlen=256) for _ in bench.owners]  # first tries by owner
         self.over = [0.0 for _ in bench.owners]  # part of an owner's traffic that is beyond its share
@@ -461,19 +463,22 @@
         if stay_away < UNREAD_BEARABLE * self.due_span:
             stay_away = 0
         stay_away = min(stay_away, self.bench.longest_stay_away)
+        self.rejections.append(self.now)
         out.reject(held.task.id, self._widespread(), stay_away)
         self._drop(held)
         self._unrun(held, out)
 
     def _widespread(self) -> bool:
-        """Whether elsewhere is no better: further tries beyond a budget or, where they bear no mark, a cap
-        while this server runs at its usual pace, so that what is too much is what is sent, not what is slow."""
+        """Whether elsewhere is no better: further tries beyond a budget or, where they bear no mark, rejections
+        beyond it while this server runs at its usual pace, so that what is too much is what is sent, not what is slow."""
         if self.leave_notice is not None:
             return False
         if self.bench.marks_repeats:
             return sum(1 for _, _, again in self.arrivals if again) > RETRY_BUDGET * len(self.arrivals)
         slowness = sorted(self.slowness)
-        return self.cap is not None and bool(slowness) and slowness[len(slowness) // 2] < USUAL_PACE
+        lately = sum(1 for when in self.rejections if when > self.now - WIDE_SPAN)
+        wide = lately * SECOND > RETRY_BUDGET * self._arriving() * WIDE_SPAN
+        return wide and bool(slowness) and slowness[len(slowness) // 2] < USUAL_PACE
 
     def _drop(self, held: Exec) -> None:
         self.tasks.pop(held.task.id, None)
