--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -48,7 +48,7 @@
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
-REJECT_BUDGET = 0.2  # part of the recent arrivals rejected past which elsewhere is no better
+RETRY_BUDGET = 0.2  # part of the arrivals, marked further tries or rejected, past which elsewhere is no better
 
 
 class Effect:
@@ -469,13 +469,17 @@
         self._unrun(held, out)
 
     def _widespread(self) -> bool:
-        """Whether elsewhere is no better: rejections beyond a budget while this server keeps its usual pace,
-        so that too much is sent rather than too little done. Guards against tries that walk the whole list."""
-        slowness = sorted(self.slowness)
-        if self.leave_notice is not None or not slowness or slowness[len(slowness) // 2] > USUAL_PACE:
+        """Whether elsewhere is no better: marked tries beyond a budget, or rejections beyond it while this
+        server keeps its usual pace, so that too much is sent rather than too little done. Guards against
+        tries that walk the whole list; could harm where one server alone gets a crowd for long."""
+        if self.leave_notice is not None:
             return False
+        if sum(1 for _, _, again in self.arrivals if again) > RETRY_BUDGET * len(self.arrivals):
+            return True
+        slowness = sorted(self.slowness)
         lately = sum(1 for when in self.rejections if when > self.now - WIDE_SPAN)
-        return lately * SECOND > REJECT_BUDGET * self._arriving() * WIDE_SPAN
+        wide = lately * SECOND > RETRY_BUDGET * self._arriving() * WIDE_SPAN
+        return wide and bool(slowness) and slowness[len(slowness) // 2] < USUAL_PACE
 
     def _drop(self, held: Exec) -> None:
         self.tasks.pop(held.task.id, None)
