--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -464,7 +464,8 @@
             stay_away = 0
         stay_away = min(stay_away, self.bench.longest_stay_away)
         self.rejections.append(self.now)
-        out.reject(held.task.id, self._widespread(), stay_away)
+        first = self.bench.marks_repeats and not held.task.again
+        out.reject(held.task.id, not first and self._widespread(), stay_away)
         self._drop(held)
         self._unrun(held, out)
 
