--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -462,7 +462,7 @@
         if self.leave_notice is not None or self.cut > BUCKETS * self.levels:
             stay_away = self.bench.longest_stay_away
         if stay_away < UNREAD_BEARABLE * self.due_span:
-            stay_away = STAY_SHORT if self.cap is not None and self.bench.says == "none" else 0
+            stay_away = STAY_SHORT if self.cap is not None else 0
         stay_away = min(stay_away, self.bench.longest_stay_away)
         self.rejections.append(self.now)
         out.reject(held.task.id, self._widespread(), stay_away)
