--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -44,7 +44,7 @@
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
-STAY_SHORT = 200 * MS  # advice to those rejected under a cap where no level can be sent
+STAY_SHORT = 400 * MS  # advice to those rejected under a cap where no level can be sent
 SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
@@ -462,7 +462,7 @@
         if self.leave_notice is not None or self.cut > BUCKETS * self.levels:
             stay_away = self.bench.longest_stay_away
         if stay_away < UNREAD_BEARABLE * self.due_span:
-            stay_away = STAY_SHORT if self.cap is not None else 0
+            stay_away = STAY_SHORT if self.cap is not None and self.bench.says == "none" else 0
         stay_away = min(stay_away, self.bench.longest_stay_away)
         self.rejections.append(self.now)
         out.reject(held.task.id, self._widespread(), stay_away)
