Read a further try's age off its shortened patience

Cause: at oulu 5 to 10% of tasks were run and answered late: clients' further tries count from the first one, whose age is not told. Should also guard against stub tries cut short by the client's limit. Where callers cut all tries alike it says nothing. Could harm if a caller cuts single tries for reasons of its own.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -44,7 +44,7 @@
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
-STAY_SHORT = 400 * MS  # advice to those rejected under a cap where no level can be sent
+STAY_SHORT = 200 * MS  # advice to those rejected under a cap where no level can be sent
 SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
@@ -80,13 +80,14 @@
 class Row:
     """What the module reads of a stage."""
 
-    __slots__ = ("effect", "level", "pace", "stage", "usual")
+    __slots__ = ("effect", "level", "pace", "patience", "stage", "usual")
 
     def __init__(self, bench: Bench, place: int) -> None:
         self.stage = bench.stages[place]
         self.effect = self.stage.effect
         self.level = sorted({stage.utility for stage in bench.stages}).index(self.stage.utility)
         self.pace: deque[float] = deque(maxlen=PACE_SAMPLES)  # run time for each ns of hinted work
+        self.patience = 0  # the longest that a caller was seen to wait for a first try
         self.usual = 0.0  # the trusted percentile of the pace
 
 
@@ -183,6 +184,14 @@
             stage = row.stage
             limit = task.limit if task.limit is not None else task.reached + stage.limit_span
             due = task.reached + stage.due_span + int(stage.due_stretch * (task.work or 0))
+            # A further try whose caller waits less long than for a first one tells how old it is. Guards
+            # against running what can only be late; where callers cut all tries alike, it says nothing.
+            if task.limit is not None:
+                patience = task.limit - task.reached
+                if not task.again:
+                    row.patience = max(row.patience, patience)
+                elif patience < row.patience - TICK:
+                    due = min(due, limit - stage.limit_span + stage.due_span)
             bucket = self._bucket(task)
             within = int(bucket >= self.over[task.owner] * BUCKETS) if self.over else 1
             place = (2 * row.level + within) * BUCKETS + bucket
