Spread the advice to stay away by chance

Callers that were rejected together came back together. Also: a task already answered no longer stands for a call, and held tasks that can't end before a stop are rejected.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -157,8 +157,8 @@
                 self._gone(item[1], out)
             elif kind == "wants_call":
                 held = self.tasks.get(item[1])
-                if held is not None:
-                    held.state = "at_call" if held.state == "running" else held.state
+                if held is not None and held.state == "running":
+                    held.state = "at_call"
                     self.at_call.append(held)
             elif kind == "call_over":
                 self._call_over(item[1], item[2], out)
@@ -225,7 +225,8 @@
         for held in held_now:
             if held.effect is not None and held.effect.holder is not held:
                 continue
-            if now + self._estimate(held.task) > held.due and (self.running > 0 or now >= held.due):
+            hopeless = now + self._estimate(held.task) > held.due and (self.running > 0 or now >= held.due)
+            if hopeless or self._too_late_to_run(held.task):
                 self._reject(held, out)  # cannot be answered in time to be worth anything
                 continue
             if self.running >= self._room():
@@ -472,7 +473,7 @@
             stay_away = self.bench.longest_stay_away
         if stay_away < UNREAD_BEARABLE * self.due_span:
             stay_away = STAY_SHORT if self.cap is not None and self.bench.says == "none" else 0
-        stay_away = min(stay_away, self.bench.longest_stay_away)
+        stay_away = min(int(stay_away * (0.5 + self.chance())), self.bench.longest_stay_away)
         self.rejections.append(self.now)
         out.reject(held.task.id, self._widespread(), stay_away)
         self._drop(held)
@@ -578,13 +579,13 @@
                 if spent + min(ahead, bench.calls_span * (len(self.calling) + 1)) > (
                     bench.calls_out * bench.calls_span
                 ) and (self.calling or (self.calls and self.calls[-1][1] > since)):
-                    if stage.skip_share > 0 and held.state != "over":
+                    if stage.skip_share > 0:
                         out.skip_call(held.task.id)
                         held.state = "running"
                         self.at_call.remove(held)
                     continue
             self.at_call.remove(held)
-            held.state = "calling" if held.state != "over" else "over"
+            held.state = "calling"
             self.calling[held.task.id] = now
             out.call(held.task.id, patience)
 
