Let the cut spare a task while running and held stay under one and a half a core

Cause: cores idled 12 to 15% in steady overload as callers swing; a small hold rides the swings out. Replaces the free-core exception, which it contains. Could harm if reading is the bottleneck and cores look free.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -49,7 +49,8 @@
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
-RETRY_BUDGET = 0.2  # part of the arrivals, marked further tries or rejected, past which elsewhere is no better
+RETRY_BUDGET = 0.2  # part of the arrivals, further tries or rejected, past which elsewhere is no better
+SHORT_HOLD = 1.5  # tasks wanting a core, for each core, under which no cut applies
 
 
 class Effect:
@@ -211,7 +212,7 @@
                     continue
             # A core free at once is proof of no overload now, whatever the cap learned a second ago. It
             # guards against a cut that outlives its crowd when callers shift between servers.
-            idle = not self.waiting and max(self.running, self.on_cores) < bench.cores
+            idle = max(self.waiting + self.running, self.on_cores) < bench.cores * SHORT_HOLD
             if limit - ANSWER_EARLY <= now or self._too_late_to_run(task) or (place < self.cut and not idle):
                 self._reject(held, out)
             elif self._memory_short(bench.key_kb if held.effect else 0.0):
