--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -50,7 +50,7 @@
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET = 0.2  # part of the arrivals, further tries or rejected, past which elsewhere is no better
-SHORT_HOLD = 1.5  # tasks wanting a core, for each core, under which no cut applies
+SHORT_HOLD = 2.0  # tasks wanting a core, for each core, under which no cut applies
 
 
 class Effect:
