--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from random import Random
-from statistics import fmean
+from statistics import fmean, median_high
 
 from thistleline.interface import Bench, CameIn, Task, Writer
 
@@ -42,6 +42,7 @@
 MEMORY_GUARD = 0.9
 PACE_SAMPLES, SLOWNESS_SAMPLES = 48, 8  # calm run times kept a stage; recent runs over these, all stages
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
+CALL_TRIES = 2  # for one run, the first included
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
 STAY_SHORT = 200 * MS  # advice to those rejected under a cap where no level can be sent
@@ -50,7 +51,7 @@
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET = 0.2  # part of the arrivals, further tries or rejected, past which elsewhere is no better
-SHORT_HOLD = 2.0  # tasks wanting a core, for each core, under which no cut applies
+SHORT_HOLD = 1.5  # tasks wanting a core, for each core, under which no cut applies
 
 
 class Effect:
@@ -74,18 +75,17 @@
         self.task, self.due, self.limit, self.place = task, due, limit, place
         self.state = "held"
         self.started = 0
-        self.tries = 0
+        self.tries = 0  # calls made
         self.effect: Effect | None = None
 
 
 class Row:
     """What the module reads of a stage."""
 
-    __slots__ = ("effect", "level", "pace", "patience", "stage", "usual")
+    __slots__ = ("level", "pace", "patience", "stage", "usual")
 
     def __init__(self, bench: Bench, place: int) -> None:
         self.stage = bench.stages[place]
-        self.effect = self.stage.effect
         self.level = sorted({stage.utility for stage in bench.stages}).index(self.stage.utility)
         self.pace: deque[float] = deque(maxlen=PACE_SAMPLES)  # run time for each ns of hinted work
         self.patience = 0  # the longest that a caller was seen to wait for a first try
@@ -230,11 +230,9 @@
             if hopeless or self._too_late_to_run(held.task):
                 self._reject(held, out)  # cannot be answered in time to be worth anything
                 continue
-            if self.running >= self._room():
-                continue
-            if self._memory_short(held.task.held_kb * (bench.run_factor - 1)):
-                continue
-            self._start(held, out)
+            more = held.task.held_kb * (bench.run_factor - 1)
+            if self.running < self._room() and not self._memory_short(more):
+                self._start(held, out)
         self.waiting = sum(1 for held in held_now if held.state == "held")
 
     def _bucket(self, task: Task) -> int:
@@ -277,7 +275,6 @@
 
     def _start(self, held: Exec, out: Writer) -> None:
         held.state, held.started = "running", self.now
-        held.tries += 1
         self.running += 1
         self.memory += held.task.held_kb * (self.bench.run_factor - 1)
         out.start(held.task.id)
@@ -340,10 +337,6 @@
             slow = fmean([row.stage.due_span for row in self.rows]) / 3
         return bool(fast) and fmean(fast) > slow * CROSSING
 
-    def _throughput(self) -> float:
-        since = self.now - SEED_SPAN
-        return sum(1 for when in self.finishes if when > since) * SECOND / SEED_SPAN
-
     def _arriving(self) -> float:
         while self.arrivals and self.arrivals[0][0] <= self.now - ARRIVALS_SPAN:
             self.arrivals.popleft()
@@ -354,11 +347,12 @@
         if self.ticks % WINDOW:
             return
         now = self.now
+        throughput = sum(1 for when in self.finishes if when > now - SEED_SPAN) * SECOND / SEED_SPAN
         firing = max(self.violations) >= FIRE_AFTER and self._confirmed()
         if firing:
             self.fired = now
             if self.cap is None:
-                self.cap = max(1.0, self._throughput())
+                self.cap = max(1.0, throughput)
                 self.probe_wait = PROBE_FIRST
                 self.before_probe = None
                 self.changed = now
@@ -368,7 +362,7 @@
                     self.probe_wait = min(PROBE_LAST, self.probe_wait * 2)
                     self.before_probe = None
                 else:
-                    self.cap = max(1.0, min(self.cap, self._throughput()) * CUT_BACK)
+                    self.cap = max(1.0, min(self.cap, throughput) * CUT_BACK)
                 self.changed = now
         elif self.cap is not None:
             if now - self.fired >= LIFT_AFTER or self.cap > self._arriving() * PROBE_STEP:
@@ -488,10 +482,9 @@
             return False
         if sum(1 for _, _, again in self.arrivals if again) > RETRY_BUDGET * len(self.arrivals):
             return True
-        slowness = sorted(self.slowness)
         lately = sum(1 for when in self.rejections if when > self.now - WIDE_SPAN)
         wide = lately * SECOND > RETRY_BUDGET * self._arriving() * WIDE_SPAN
-        return wide and bool(slowness) and slowness[len(slowness) // 2] < USUAL_PACE
+        return wide and bool(self.slowness) and median_high(self.slowness) < USUAL_PACE
 
     def _drop(self, held: Exec) -> None:
         self.tasks.pop(held.task.id, None)
@@ -523,7 +516,7 @@
 
     def _stop_unwanted(self, held: Exec, out: Writer) -> None:
         """Nobody waits for it: what may run again is stopped; an effect goes on, for its repeats' sake."""
-        may_run_again = self.rows[held.task.stage].effect == "restartable"
+        may_run_again = self.rows[held.task.stage].stage.effect == "restartable"
         if held.state == "running" and self.bench.stopping != "none" and may_run_again:
             out.stop(held.task.id)
         held.state = "over"
@@ -569,17 +562,15 @@
     def _make_calls(self, out: Writer) -> None:
         """Calls have their own bound: this server's share of what lies below, as a mean over its span."""
         bench, now = self.bench, self.now
+        since = now - bench.calls_span
         for held in sorted(self.at_call, key=_by_due):
             stage = self.rows[held.task.stage].stage
-            patience = max(MS, (min(held.due, held.limit) - now) // 2)
+            patience = max(MS, (held.due - now) // 2)
             if bench.below == "shared":
-                since = now - bench.calls_span
-                spent = sum(max(0, until - max(since, begun)) for begun, until in self.calls)
-                spent += sum(now - max(since, begun) for begun in self.calling.values())
-                ahead = (len(self.calling) + 1) * (patience + bench.call_linger)
-                if spent + min(ahead, bench.calls_span * (len(self.calling) + 1)) > (
-                    bench.calls_out * bench.calls_span
-                ) and (self.calling or (self.calls and self.calls[-1][1] > since)):
+                ahead = patience + bench.call_linger
+                spans = [*self.calls, *((begun, now + ahead) for begun in self.calling.values())]
+                spent = sum(max(0, until - max(since, begun)) for begun, until in spans)
+                if spent and spent + ahead > bench.calls_out * bench.calls_span:
                     if stage.skip_share > 0:
                         out.skip_call(held.task.id)
                         held.state = "running"
@@ -603,12 +594,12 @@
         held.state = "running"
         if how == "finished":
             return
-        row = self.rows[held.task.stage]
+        stage = self.rows[held.task.stage].stage
         held.tries += 1
-        unseen = how in ("turned_away", "unreachable")
-        if row.stage.skip_share > 0:
+        may_repeat = stage.effect == "restartable" or how in ("turned_away", "unreachable")
+        if stage.skip_share > 0:
             out.skip_call(name)
-        elif held.tries <= 3 and self.now < held.due and (row.effect == "restartable" or unseen):
+        elif held.tries <= CALL_TRIES and self.now < held.due and may_repeat:
             held.state = "at_call"  # repeated only where it may be: restartable, or known not to have run
             self.at_call.append(held)
         else:
