--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -464,7 +464,7 @@
         # What is turned away comes back when what lies unread has been read: a rejection costs a reading too,
         # so a jam of reading ends only if less is sent. Guards against storms of further tries.
         stay_away = self._unread_wait()
-        if self.leave_notice is not None or self.cut > BUCKETS * self.levels:
+        if self.leave_notice is not None:
             stay_away = self.bench.longest_stay_away
         if stay_away < UNREAD_BEARABLE * self.due_span:
             stay_away = STAY_SHORT if self.cap is not None and self.bench.says == "none" else 0
