--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -28,8 +28,8 @@
 SEED_SPAN = 2 * SECOND  # throughput just before the overload is counted over this
 CUT_BACK = 0.9  # what a firing leaves of the cap
 PROBE_STEP = 1.1
-PROBE_FIRST, PROBE_LAST = SECOND // 2, 4 * SECOND
-SETTLE = SECOND // 2  # a firing sooner than this after a change of the cap is the old crowd's
+PROBE_FIRST, PROBE_LAST = SECOND, 8 * SECOND
+SETTLE = SECOND  # a firing sooner than this after a change of the cap is the old crowd's
 LIFT_AFTER = 4 * SECOND  # calm this long lifts the cap
 SHARE_SPAN, SHARE_SLACK = 4 * SECOND, 1.2  # an owner past this many times its share is beyond it
 ARRIVALS_SPAN = 3 * SECOND
@@ -46,7 +46,7 @@
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
 STAY_SHORT = 200 * MS  # advice to those rejected under a cap where no level can be sent
-SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
+SAY_PART = 0.6  # of the cut at usual pace, as what callers withhold is unseen; a slow server says it all
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
@@ -376,7 +376,7 @@
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
         self.cut = max(wanted, self.cut - fall)
         if self.bench.says == "threshold" and self.leave_notice is None:
-            value = self._rank_at(self.cut) * SAY_PART
+            value = self._rank_at(self.cut) * (SAY_PART if self._usual_pace() else 1.0)
             if value != self.said:
                 self.said = value
                 out.say(value)
@@ -484,7 +484,10 @@
             return True
         lately = sum(1 for when in self.rejections if when > self.now - WIDE_SPAN)
         wide = lately * SECOND > RETRY_BUDGET * self._arriving() * WIDE_SPAN
-        return wide and bool(self.slowness) and median_high(self.slowness) < USUAL_PACE
+        return wide and self._usual_pace()
+
+    def _usual_pace(self) -> bool:
+        return bool(self.slowness) and median_high(self.slowness) < USUAL_PACE
 
     def _drop(self, held: Exec) -> None:
         self.tasks.pop(held.task.id, None)
