Stop restartable runs that are worth nothing late at their due time

Cause: in wide slowdowns and overload cores went on with runs that had missed their due time. Should also guard against a machine that stalls. Could harm where due times are told too short.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -46,7 +46,7 @@
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
 STAY_SHORT = 200 * MS  # advice to those rejected under a cap where no level can be sent
-SAY_PART = 0.6  # of the cut at usual pace, as what callers withhold is unseen; a slow server says it all
+SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
@@ -376,7 +376,7 @@
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
         self.cut = max(wanted, self.cut - fall)
         if self.bench.says == "threshold" and self.leave_notice is None:
-            value = self._rank_at(self.cut) * (SAY_PART if self._usual_pace() else 1.0)
+            value = self._rank_at(self.cut) * SAY_PART
             if value != self.said:
                 self.said = value
                 out.say(value)
@@ -484,10 +484,7 @@
             return True
         lately = sum(1 for when in self.rejections if when > self.now - WIDE_SPAN)
         wide = lately * SECOND > RETRY_BUDGET * self._arriving() * WIDE_SPAN
-        return wide and self._usual_pace()
-
-    def _usual_pace(self) -> bool:
-        return bool(self.slowness) and median_high(self.slowness) < USUAL_PACE
+        return wide and bool(self.slowness) and median_high(self.slowness) < USUAL_PACE
 
     def _drop(self, held: Exec) -> None:
         self.tasks.pop(held.task.id, None)
@@ -497,7 +494,12 @@
         """Guards against a task lost: whatever its state, it is answered before its time limit or our end."""
         leaving = self.leave_by is not None and self.now >= self.leave_by - LEAVE_EARLY
         for held in list(self.tasks.values()):
-            if held.state == "over" or (self.now < held.limit - ANSWER_EARLY and not leaving):
+            # Work that may run again and is worth nothing once late ends at its due time where it can be
+            # stopped. Guards the cores against runs that a slowdown has overtaken.
+            stage = self.rows[held.task.stage].stage
+            vain = self.bench.stopping != "none" and stage.effect == "restartable" and not stage.late_share
+            until = held.due if vain and held.state == "running" else held.limit - ANSWER_EARLY
+            if held.state == "over" or (self.now < until and not leaving):
                 continue
             if held.state == "held":
                 self._reject(held, out)
