Count a run stopped at its due time as longer than foreseen

Should also guard any server whose runs outgrow what it learned. Could harm after a short stall, until eight runs finish.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -43,6 +43,23 @@
     assert host.fates(booking) == ["remember", "start"]
 
 
+def test_runs_overtaken_by_their_due_time_teach_that_runs_are_long() -> None:
+    host = FakeHost()
+    for _ in range(12):
+        short = host.task(work=None)
+        host.read(short)
+        host.round(("over", short.id, "finished", 50 * MS))
+    for _ in range(16):
+        task = host.task(work=None, reached=host.now - LOOKUP.due_span + 100 * MS)
+        host.read(task)
+        host.wait(100 * MS)
+        host.round(("over", task.id, "stopped", 100 * MS))
+    host.read(host.task(work=None))
+    late = host.task(work=None, reached=host.now - LOOKUP.due_span + 100 * MS)
+    host.read(late)
+    assert host.fates(late) == ["reject"]
+
+
 def test_a_further_try_tells_its_age_by_its_shortened_patience() -> None:
     host = FakeHost(tells_limit=True)
     host.read(host.task(limit=host.now + 4 * SECOND))
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -6,7 +6,7 @@
 The ordinary path of a task is `_pass`; the overload mechanism is `_sense`, `_steer` and `_cut_for`.
 """
 
-from collections import deque
+from collections import Counter, deque
 from random import Random
 from statistics import fmean, median_high
 
@@ -42,6 +42,7 @@
 MEMORY_GUARD = 0.9
 PACE_SAMPLES, SLOWNESS_SAMPLES = 48, 8  # calm run times kept a stage; recent runs over these, all stages
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
+OVERTAKEN = 1.5  # of the time foreseen, that a run stopped at its due time is taken to need
 CALL_TRIES = 2  # for one run, the first included
 ANSWER_EARLY = 2 * TICK
 LEAVE_EARLY = 200 * MS
@@ -310,8 +311,7 @@
                 self.violations[place] = self.violations[place] + 1 if high > bound else 0
             if self.violations == [0, 0]:
                 self.peaks.append(max(self.queue_samples))
-        waiting = any(held.state == "held" for held in self.tasks.values())
-        if waiting and self.on_cores < bench.cores:
+        if self.waiting and self.on_cores < bench.cores:
             self.limit = max(self.limit, self.running + bench.cores - self.on_cores)
         survived = max(self.peaks) if len(self.peaks) >= WINDOW else START_CROWD
         crowd = bench.cores * min(max(1.0, survived), START_CROWD)
@@ -320,7 +320,7 @@
 
     def _unread_wait(self) -> int:
         recent = [waited for when, waited in self.unread if when > self.now - WINDOW * TICK]
-        return sorted(recent)[len(recent) // 2] if recent else 0
+        return median_high(recent) if recent else 0
 
     def _confirmed(self) -> bool:
         """Fast latency over the slow one. What is in hand counts by its age, so a standstill shows."""
@@ -400,9 +400,7 @@
     def _cut_for(self, cap: float) -> int:
         """The lowest cut whose rest fits the cap; empty levels and buckets are skipped."""
         spare = self._arriving() - cap
-        counts: dict[int, int] = {}
-        for _, place, _ in self.arrivals:
-            counts[place] = counts.get(place, 0) + 1
+        counts = Counter(place for _, place, _ in self.arrivals)
         cut = 0
         for place in sorted(counts):
             if spare <= 0:
@@ -515,12 +513,12 @@
         if held.state == "repeat":
             self._drop(held)
             return
-        if held in self.at_call:
-            self.at_call.remove(held)
         self._stop_unwanted(held, out)
 
     def _stop_unwanted(self, held: Exec, out: Writer) -> None:
         """Nobody waits for it: what may run again is stopped; an effect goes on, for its repeats' sake."""
+        if held in self.at_call:
+            self.at_call.remove(held)
         may_run_again = self.rows[held.task.stage].stage.effect == "restartable"
         if held.state == "running" and self.bench.stopping != "none" and may_run_again:
             out.stop(held.task.id)
@@ -534,8 +532,6 @@
             self._drop(held)
             self._unrun(held, out)
         else:
-            if held in self.at_call:
-                self.at_call.remove(held)
             self._stop_unwanted(held, out)
 
     def _over(self, name: str, how: str, took: int, out: Writer) -> None:
@@ -555,6 +551,11 @@
             self.latencies.append((self.now, self.now - held.task.reached))
             if self.cap is None and not any(self.violations):
                 self.calm.append(self.now - held.task.reached)
+        overtaken = how == "stopped" and self.now >= held.due
+        if held.started and (how == "finished" or overtaken):
+            # A run stopped at its due time counts as longer than foreseen. Guards against judging by those
+            # alone that finished in time, and so starting ever more that cannot.
+            took = max(took, int(OVERTAKEN * self._estimate(held.task))) if overtaken else took
             row, pace = self.rows[held.task.stage], took / (held.task.work or 1)
             if row.usual:
                 self.slowness.append(pace / row.usual)
