--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -348,7 +348,7 @@
             return
         now = self.now
         throughput = sum(1 for when in self.finishes if when > now - SEED_SPAN) * SECOND / SEED_SPAN
-        firing = max(self.violations) >= FIRE_AFTER and self._confirmed()
+        firing = max(self.violations) >= FIRE_AFTER
         if firing:
             self.fired = now
             if self.cap is None:
