--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -22,7 +22,7 @@
 QUEUE_PER_CORE = 2.0  # run queue per core in violation
 INFLECTION = 0.25  # part of a held task's spare time that is gone, in violation
 FAST, SLOW = SECOND, 200  # span of the fast latency average; calm samples in the slow one
-CROSSING = 1.3  # the fast average must pass the slow one times this
+CROSSING = 1.1  # the fast average must pass the slow one times this
 CALM_SAMPLES = 12  # fewer calm samples than this are no history
 
 SEED_SPAN = 2 * SECOND  # throughput just before the overload is counted over this
@@ -348,7 +348,7 @@
             return
         now = self.now
         throughput = sum(1 for when in self.finishes if when > now - SEED_SPAN) * SECOND / SEED_SPAN
-        firing = max(self.violations) >= FIRE_AFTER
+        firing = max(self.violations) >= FIRE_AFTER and self._confirmed()
         if firing:
             self.fired = now
             if self.cap is None:
