Halve the CPU of a tick: scan the hold only while some wait, keep when a task must be answered

Now the hold is scanned only while something waits, each task keeps when it must be answered, the tables are swept once a window; abandoning and a caller gone share one path.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -7,6 +7,7 @@
 """
 
 from collections import Counter, deque
+from itertools import takewhile
 from random import Random
 from statistics import fmean, median_high
 
@@ -70,10 +71,11 @@
 class Exec:
     """A task in hand: held, running, at a call, awaiting a repeat's answer, or answered but still working."""
 
-    __slots__ = ("due", "effect", "limit", "place", "started", "state", "task", "tries")
+    __slots__ = ("due", "effect", "limit", "place", "started", "state", "task", "tries", "until")
 
     def __init__(self, task: Task, due: int, limit: int, place: int) -> None:
         self.task, self.due, self.limit, self.place = task, due, limit, place
+        self.until = limit - ANSWER_EARLY  # when it is answered in whatever state
         self.state = "held"
         self.started = 0
         self.tries = 0  # calls made
@@ -205,6 +207,7 @@
                 self.asked[task.owner].append(now)
             self.unread.append((now, now - task.reached))
             if stage.effect == "fingerprinted" and self._joins(held, out):
+                self.waiting += 1
                 continue
             if stage.effect == "restartable" and task.repeats is not None:
                 other = self.tasks.get(task.repeats)
@@ -223,16 +226,20 @@
                 if held.effect is not None:
                     self._remember(held, out)
 
+        if not self.waiting:
+            return
+        times, room = self._times(), self._room()
         held_now = sorted((held for held in self.tasks.values() if held.state == "held"), key=_by_due)
         for held in held_now:
             if held.effect is not None and held.effect.holder is not held:
                 continue
-            hopeless = now + self._estimate(held.task) > held.due and (self.running > 0 or now >= held.due)
+            probe = self.running == 0 and now < held.due
+            hopeless = not probe and now + self._estimate(held.task, times) > held.due
             if hopeless or self._too_late_to_run(held.task):
                 self._reject(held, out)  # cannot be answered in time to be worth anything
                 continue
             more = held.task.held_kb * (bench.run_factor - 1)
-            if self.running < self._room() and not self._memory_short(more):
+            if self.running < room and not self._memory_short(more):
                 self._start(held, out)
         self.waiting = sum(1 for held in held_now if held.state == "held")
 
@@ -243,12 +250,14 @@
         part = task.rank * len(self.rows)
         return int((part - int(part)) * BUCKETS) % BUCKETS
 
-    def _estimate(self, task: Task) -> int:
-        """The time a run should take: hopefully while there is room for all, soberly once a cap stands, when
-        the room belongs to those that will make it. Guards against giving up on big tasks in quiet hours
-        (waits off the cores do not grow with the work, so a middling pace overrates them)."""
+    def _times(self) -> float:
+        """How many times its usual pace a run should take: hopefully while there is room for all, soberly
+        once a cap stands, when the room belongs to those that will make it. Guards against giving up on big
+        tasks in quiet hours (waits off the cores do not grow with the work, so a middling pace overrates)."""
         slowness = sorted(self.slowness) or [1.0]
-        times = slowness[0 if self.cap is None else len(slowness) // 4]
+        return slowness[0 if self.cap is None else len(slowness) // 4]
+
+    def _estimate(self, task: Task, times: float) -> int:
         return int(self.rows[task.stage].usual * times * (task.work or 1))
 
     def _room(self) -> int:
@@ -271,11 +280,16 @@
             return False
         return (
             task.reached > self.leave_notice + self.bench.drain_grace // 2
-            or self.now + self._estimate(task) > self.leave_by - LEAVE_EARLY
+            or self.now + self._estimate(task, self._times()) > self.leave_by - LEAVE_EARLY
         )
 
     def _start(self, held: Exec, out: Writer) -> None:
         held.state, held.started = "running", self.now
+        # Work that may run again and is worth nothing once late ends at its due time where it can be
+        # stopped. Guards the cores against runs that a slowdown has overtaken.
+        stage = self.rows[held.task.stage].stage
+        if self.bench.stopping != "none" and stage.effect == "restartable" and not stage.late_share:
+            held.until = min(held.until, held.due)
         self.running += 1
         self.memory += held.task.held_kb * (self.bench.run_factor - 1)
         out.start(held.task.id)
@@ -297,9 +311,10 @@
         # Rejected tasks never enter the hold, so the wait of the unread is told by those just read. Guards
         # against a jam of reading, which the run limit can't relieve and the hold doesn't show.
         worst = self._unread_wait() / self.due_span
-        for held in self.tasks.values():
+        times = self._times()
+        for held in self.tasks.values() if self.waiting else ():
             if held.state == "held":
-                spare = held.due - self._estimate(held.task) - held.task.reached
+                spare = held.due - self._estimate(held.task, times) - held.task.reached
                 worst = max(worst, (now - held.task.reached) / max(spare, TICK))
         self.wait_samples.append(worst)
         self.ticks += 1
@@ -319,7 +334,8 @@
             self.limit = max(float(bench.cores), min(self.limit, self.running) - 1)
 
     def _unread_wait(self) -> int:
-        recent = [waited for when, waited in self.unread if when > self.now - WINDOW * TICK]
+        since = self.now - WINDOW * TICK
+        recent = [waited for _, waited in takewhile(lambda read: read[0] > since, reversed(self.unread))]
         return median_high(recent) if recent else 0
 
     def _confirmed(self) -> bool:
@@ -491,48 +507,32 @@
     def _answer_due(self, out: Writer) -> None:
         """Guards against a task lost: whatever its state, it is answered before its time limit or our end."""
         leaving = self.leave_by is not None and self.now >= self.leave_by - LEAVE_EARLY
-        for held in list(self.tasks.values()):
-            # Work that may run again and is worth nothing once late ends at its due time where it can be
-            # stopped. Guards the cores against runs that a slowdown has overtaken.
-            stage = self.rows[held.task.stage].stage
-            vain = self.bench.stopping != "none" and stage.effect == "restartable" and not stage.late_share
-            until = held.due if vain and held.state == "running" else held.limit - ANSWER_EARLY
-            if held.state == "over" or (self.now < until and not leaving):
-                continue
+        for held in [held for held in self.tasks.values() if leaving or held.until <= self.now]:
             if held.state == "held":
                 self._reject(held, out)
-            else:
-                self._give_up(held, out)
-        for name in [name for name, until in self.entries.items() if until <= self.now]:
-            del self.entries[name]
-        for name in [name for name, effect in self.effects.items() if effect.until <= self.now]:
-            del self.effects[name]
-
-    def _give_up(self, held: Exec, out: Writer) -> None:
-        out.abandon(held.task.id)
-        if held.state == "repeat":
-            self._drop(held)
+            elif held.state != "over":
+                out.abandon(held.task.id)
+                self._gone(held.task.id, out)
+        if self.ticks % WINDOW:
             return
-        self._stop_unwanted(held, out)
-
-    def _stop_unwanted(self, held: Exec, out: Writer) -> None:
-        """Nobody waits for it: what may run again is stopped; an effect goes on, for its repeats' sake."""
-        if held in self.at_call:
-            self.at_call.remove(held)
-        may_run_again = self.rows[held.task.stage].stage.effect == "restartable"
-        if held.state == "running" and self.bench.stopping != "none" and may_run_again:
-            out.stop(held.task.id)
-        held.state = "over"
+        self.entries = {name: until for name, until in self.entries.items() if until > self.now}
+        self.effects = {name: effect for name, effect in self.effects.items() if effect.until > self.now}
 
     def _gone(self, name: str, out: Writer) -> None:
+        """Nobody waits for it: what may run again is stopped; an effect goes on, for its repeats' sake."""
         held = self.tasks.get(name)
         if held is None or held.state == "over":
             return
         if held.state in ("held", "repeat"):
             self._drop(held)
             self._unrun(held, out)
-        else:
-            self._stop_unwanted(held, out)
+            return
+        if held in self.at_call:
+            self.at_call.remove(held)
+        may_run_again = self.rows[held.task.stage].stage.effect == "restartable"
+        if held.state == "running" and self.bench.stopping != "none" and may_run_again:
+            out.stop(name)
+        held.state = "over"
 
     def _over(self, name: str, how: str, took: int, out: Writer) -> None:
         held = self.tasks.pop(name, None)
@@ -540,8 +540,7 @@
             return
         if held in self.at_call:
             self.at_call.remove(held)
-        if name in self.calling:
-            self._call_ended(name)
+        self._call_ended(name)
         if held.started:
             self.running -= 1
             self.memory -= held.task.held_kb * (self.bench.run_factor - 1)
@@ -555,7 +554,7 @@
         if held.started and (how == "finished" or overtaken):
             # A run stopped at its due time counts as longer than foreseen. Guards against judging by those
             # alone that finished in time, and so starting ever more that cannot.
-            took = max(took, int(OVERTAKEN * self._estimate(held.task))) if overtaken else took
+            took = max(took, int(OVERTAKEN * self._estimate(held.task, self._times()))) if overtaken else took
             row, pace = self.rows[held.task.stage], took / (held.task.work or 1)
             if row.usual:
                 self.slowness.append(pace / row.usual)
@@ -588,13 +587,12 @@
             out.call(held.task.id, patience)
 
     def _call_ended(self, name: str) -> None:
-        begun = self.calling.pop(name)
-        self.calls.append((begun, self.now + self.bench.call_linger))
+        if name in self.calling:
+            self.calls.append((self.calling.pop(name), self.now + self.bench.call_linger))
 
     def _call_over(self, name: str, how: str, out: Writer) -> None:
         held = self.tasks.get(name)
-        if name in self.calling:
-            self._call_ended(name)
+        self._call_ended(name)
         if held is None or held.state == "over":
             return
         held.state = "running"
