Close idle connections after a second where callers seldom return

Where over half of the last 48 tasks came each from a different caller, idle ones are closed after a second.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -294,6 +294,15 @@
     assert host.read(late)[0][2] == again
 
 
+@pytest.mark.parametrize(("callers", "span"), [(400, SECOND), (5, None)])
+def test_idle_connections_of_callers_that_seldom_return_are_closed(callers: int, span: int | None) -> None:
+    host = FakeHost()
+    for place in range(60):
+        host.read(host.task(caller=place % callers))
+    host.wait(300 * MS)
+    assert [said[1] for said in host.said if said[0] == "close_idle"] == ([span] if span else [])
+
+
 def test_quiet_hours_do_not_give_up_big_tasks() -> None:
     host = FakeHost()
     for work in (50, 50, 200) * 8:
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -53,6 +53,8 @@
 WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET = 0.2  # part of the arrivals, further tries or rejected, past which elsewhere is no better
+CALLERS_SEEN, SELDOM = 48, 0.5  # recent tasks; callers in them, over these, that show they seldom return
+IDLE_SHORT = SECOND  # idle connections of callers that seldom return are closed after this
 SHORT_HOLD = 1.5  # tasks wanting a core, for each core, under which no cut applies
 
 
@@ -137,6 +139,8 @@
         self.changed = self.fired = now
         self.cut = 0
         self.said = 0.0
+        self.callers: deque[int] = deque(maxlen=CALLERS_SEEN)
+        self.idle_span = 0
         # calls
         self.at_call: list[Exec] = []
         self.calls: deque[tuple[int, int]] = deque(maxlen=512)  # from, until of those over
@@ -203,6 +207,7 @@
             self.tasks[task.id] = held
             self.memory += task.held_kb
             self.arrivals.append((now, place, task.again))
+            self.callers.append(task.caller)
             if not task.again and task.owner < len(self.over):
                 self.asked[task.owner].append(now)
             self.unread.append((now, now - task.reached))
@@ -278,10 +283,8 @@
         """Guards the drain: nothing that came later than the grace is started, nor what can't end in time."""
         if self.leave_notice is None or self.leave_by is None:
             return False
-        return (
-            task.reached > self.leave_notice + self.bench.drain_grace // 2
-            or self.now + self._estimate(task, self._times()) > self.leave_by - LEAVE_EARLY
-        )
+        late = task.reached > self.leave_notice + self.bench.drain_grace // 2
+        return late or self.now + self._estimate(task, self._times()) > self.leave_by - LEAVE_EARLY
 
     def _start(self, held: Exec, out: Writer) -> None:
         held.state, held.started = "running", self.now
@@ -319,9 +322,8 @@
         self.wait_samples.append(worst)
         self.ticks += 1
         if self.ticks % WINDOW == 0:
-            for place, (samples, bound) in enumerate(
-                ((self.queue_samples, QUEUE_PER_CORE), (self.wait_samples, INFLECTION))
-            ):
+            watched = (self.queue_samples, QUEUE_PER_CORE), (self.wait_samples, INFLECTION)
+            for place, (samples, bound) in enumerate(watched):
                 high = sorted(samples)[int(HIGH * (len(samples) - 1))]
                 self.violations[place] = self.violations[place] + 1 if high > bound else 0
             if self.violations == [0, 0]:
@@ -344,11 +346,8 @@
         slow = fmean(self.calm) if len(self.calm) >= CALM_SAMPLES else 0.0
         fast = [took for when, took in self.latencies if when > now - FAST]
         fast += [waited for when, waited in self.unread if when > now - FAST and waited > slow]
-        fast += [
-            age
-            for held in self.tasks.values()
-            if held.state in ("held", "running") and (age := now - held.task.reached) > slow
-        ]
+        ages = [now - held.task.reached for held in self.tasks.values() if held.state in ("held", "running")]
+        fast += [age for age in ages if age > slow]
         if not slow:
             slow = fmean([row.stage.due_span for row in self.rows]) / 3
         return bool(fast) and fmean(fast) > slow * CROSSING
@@ -388,6 +387,12 @@
                 self.cap *= PROBE_STEP
                 self.changed = now
         self._weigh_owners()
+        # A connection whose caller seldom returns costs room and work for nothing. Guards against a table
+        # that fills until callers get no connection; could harm where opening one costs very much.
+        idle_span = IDLE_SHORT if len(set(self.callers)) > SELDOM * CALLERS_SEEN else 0
+        if idle_span != self.idle_span:
+            self.idle_span = idle_span
+            out.close_idle(idle_span)
         wanted = self._cut_for(self.cap) if self.cap is not None else 0
         fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
         self.cut = max(wanted, self.cut - fall)
