Read a try's age off an unusual patience, marked or not

Cause: in the events callers give each try the same part of the time limit and the last one whatever is left, so what is left tells its age exactly; the module read it only of marked tries that waited less than a first one. Parts that are common among the last 96 first tries are habits; any other tells the age. Guards against all work that can only be late; harms a rare habit under a cap.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -60,14 +60,18 @@
     assert host.fates(late) == ["reject"]
 
 
-def test_a_further_try_tells_its_age_by_its_shortened_patience() -> None:
+@pytest.mark.parametrize("marked", [False, True])
+def test_a_last_try_tells_its_age_by_its_unusual_patience(marked: bool) -> None:
     host = FakeHost(tells_limit=True)
-    host.read(host.task(limit=host.now + 4 * SECOND))
-    old = host.task(again=True, limit=host.now + 2 * SECOND)
-    young = host.task(again=True, limit=host.now + 4 * SECOND)
-    host.read(old, young)
-    assert host.fates(old) == ["reject"]
+    for _ in range(40):
+        usual = host.task(limit=host.now + 3 * SECOND)
+        host.read(usual)
+        host.round(("over", usual.id, "finished", 100 * MS))
+    host.policy.cap = None if marked else 1.0
+    young, old = (host.task(again=marked, limit=host.now + span) for span in (3 * SECOND, 2 * SECOND))
+    host.read(young, old)
     assert host.fates(young) == ["start"]
+    assert host.fates(old) == ["reject"]
 
 
 def test_a_held_task_that_cannot_make_it_is_rejected_at_once() -> None:
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -27,34 +27,30 @@
 CALM_SAMPLES = 12  # fewer calm samples than this are no history
 
 SEED_SPAN = 2 * SECOND  # throughput just before the overload is counted over this
-CUT_BACK = 0.9  # what a firing leaves of the cap
-PROBE_STEP = 1.1
+CUT_BACK, PROBE_STEP = 0.9, 1.1  # what a firing leaves of the cap, what a probe makes of it
 PROBE_FIRST, PROBE_LAST = SECOND, 8 * SECOND
 SETTLE = SECOND  # a firing sooner than this after a change of the cap is the old crowd's
 LIFT_AFTER = 4 * SECOND  # calm this long lifts the cap
 SHARE_SPAN, SHARE_SLACK = 4 * SECOND, 1.2  # an owner past this many times its share is beyond it
-ARRIVALS_SPAN = 3 * SECOND
+ARRIVALS_SPAN, WIDE_SPAN = 3 * SECOND, 6 * SECOND  # the latter for rejections that show a wide overload
 BUCKETS = 16  # user buckets in a level
 CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
 
 START_CROWD = 1.5  # running tasks a core before there is history
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
-CROWD_GUARD = 0.7  # part of the crowd bound, at the present warmth, that is used
-MEMORY_GUARD = 0.9
+CROWD_GUARD, MEMORY_GUARD = 0.7, 0.9  # parts of the crowd bound, at the present warmth, and of memory, used
 PACE_SAMPLES, SLOWNESS_SAMPLES = 48, 8  # calm run times kept a stage; recent runs over these, all stages
 TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
 OVERTAKEN = 1.5  # of the time foreseen, that a run stopped at its due time is taken to need
+SAME_PATIENCE, HABIT = 0.01, 32  # of the time limit; one in so many tries alike makes a caller's habit
 CALL_TRIES = 2  # for one run, the first included
-ANSWER_EARLY = 2 * TICK
-LEAVE_EARLY = 200 * MS
+ANSWER_EARLY, LEAVE_EARLY = 2 * TICK, 200 * MS
 STAY_SHORT = 200 * MS  # advice to those rejected under a cap where no level can be sent
 SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
-WIDE_SPAN = 6 * SECOND  # over which rejections show whether an overload is wide
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET = 0.2  # part of the arrivals, further tries or rejected, past which elsewhere is no better
-CALLERS_SEEN, SELDOM = 48, 0.5  # recent tasks; callers in them, over these, that show they seldom return
-IDLE_SHORT = SECOND  # idle connections of callers that seldom return are closed after this
+CALLERS_SEEN, SELDOM, IDLE_SHORT = 48, 0.5, SECOND  # of callers that seldom return: recent tasks, part, span
 SHORT_HOLD = 1.5  # tasks wanting a core, for each core, under which no cut applies
 
 
@@ -87,13 +83,12 @@
 class Row:
     """What the module reads of a stage."""
 
-    __slots__ = ("level", "pace", "patience", "stage", "usual")
+    __slots__ = ("level", "pace", "stage", "usual")
 
     def __init__(self, bench: Bench, place: int) -> None:
         self.stage = bench.stages[place]
         self.level = sorted({stage.utility for stage in bench.stages}).index(self.stage.utility)
         self.pace: deque[float] = deque(maxlen=PACE_SAMPLES)  # run time for each ns of hinted work
-        self.patience = 0  # the longest that a caller was seen to wait for a first try
         self.usual = 0.0  # the trusted percentile of the pace
 
 
@@ -139,6 +134,7 @@
         self.changed = self.fired = now
         self.cut = 0
         self.said = 0.0
+        self.patience: deque[float] = deque(maxlen=3 * HABIT)  # of first tries, as parts of the time limit
         self.callers: deque[int] = deque(maxlen=CALLERS_SEEN)
         self.idle_span = 0
         # calls
@@ -192,23 +188,27 @@
             stage = row.stage
             limit = task.limit if task.limit is not None else task.reached + stage.limit_span
             due = task.reached + stage.due_span + int(stage.due_stretch * (task.work or 0))
-            # A further try whose caller waits less long than for a first one tells how old it is. Guards
-            # against running what can only be late; where callers cut all tries alike, it says nothing.
+            # Callers give their tries a usual part of the time limit and the last one what is left, so an
+            # unusual part tells a try's age, under a cap even unmarked. Guards against running what can only
+            # be late; could harm a caller of rare habits until enough of its tries were seen.
+            again = task.again
             if task.limit is not None:
-                patience = task.limit - task.reached
+                part = (limit - task.reached) / stage.limit_span
+                alike = sum(1 for seen in self.patience if abs(seen - part) < SAME_PATIENCE)
+                told = (again or self.cap is not None) and len(self.patience) >= HABIT
+                if told and alike * HABIT < len(self.patience):
+                    again, due = True, due - int(stage.limit_span * (1 - part))
                 if not task.again:
-                    row.patience = max(row.patience, patience)
-                elif patience < row.patience - TICK:
-                    due = min(due, limit - stage.limit_span + stage.due_span)
+                    self.patience.append(part)
             bucket = self._bucket(task)
             within = int(bucket >= self.over[task.owner] * BUCKETS) if self.over else 1
             place = (2 * row.level + within) * BUCKETS + bucket
             held = Exec(task, min(due, limit), limit, place)
             self.tasks[task.id] = held
             self.memory += task.held_kb
-            self.arrivals.append((now, place, task.again))
+            self.arrivals.append((now, place, again))
             self.callers.append(task.caller)
-            if not task.again and task.owner < len(self.over):
+            if not again and task.owner < len(self.over):
                 self.asked[task.owner].append(now)
             self.unread.append((now, now - task.reached))
             if stage.effect == "fingerprinted" and self._joins(held, out):
