The cut spares a task while under two and a half a core want a core, for one and a half

Guards against any cut older than its crowd; harms where a held task is worth much less than what may come.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -51,7 +51,7 @@
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET = 0.2  # part of the arrivals, further tries or rejected, past which elsewhere is no better
 CALLERS_SEEN, SELDOM, IDLE_SHORT = 48, 0.5, SECOND  # of callers that seldom return: recent tasks, part, span
-SHORT_HOLD = 1.5  # tasks wanting a core, for each core, under which no cut applies
+SHORT_HOLD = 2.5  # tasks wanting a core, for each core, under which no cut applies
 
 
 class Effect:
