The short hold grows with the root of the cores

What stands waiting by chance grows with the root of the cores, so the bound is the cores and 1.45 times their root. Guards against bounds that fit one size of server.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -51,7 +51,7 @@
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET = 0.2  # part of the arrivals, further tries or rejected, past which elsewhere is no better
 CALLERS_SEEN, SELDOM, IDLE_SHORT = 48, 0.5, SECOND  # of callers that seldom return: recent tasks, part, span
-SHORT_HOLD = 2.5  # tasks wanting a core, for each core, under which no cut applies
+SHORT_HOLD = 1.45  # tasks waiting for a core under which no cut applies, over the root of the cores
 
 
 class Effect:
@@ -221,7 +221,7 @@
                     continue
             # A core free at once is proof of no overload now, whatever the cap learned a second ago. It
             # guards against a cut that outlives its crowd when callers shift between servers.
-            idle = max(self.waiting + self.running, self.on_cores) < bench.cores * SHORT_HOLD
+            idle = max(self.waiting + self.running, self.on_cores) < bench.cores + SHORT_HOLD * bench.cores**0.5
             if limit - ANSWER_EARLY <= now or self._too_late_to_run(task) or (place < self.cut and not idle):
                 self._reject(held, out)
             elif self._memory_short(bench.key_kb if held.effect else 0.0):
