A marked try of untold age counts as old as rejections here usually make it

Guards against all runs of late tries; harms tries from a server much worse than this one the other way round.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -74,6 +74,16 @@
     assert host.fates(old) == ["reject"]
 
 
+def test_a_marked_try_counts_as_old_as_rejections_here_make_it() -> None:
+    host = FakeHost()
+    host.read(*(host.task(reached=host.now - 5 * SECOND) for _ in range(3)))
+    busy(host)
+    first, again = host.task(), host.task(again=True)
+    host.read(first, again)
+    assert host.fates(first) == []
+    assert host.fates(again) == ["reject"]
+
+
 def test_a_held_task_that_cannot_make_it_is_rejected_at_once() -> None:
     host = FakeHost()
     busy(host)
@@ -336,8 +346,8 @@
     host.policy.cut = 4 * BUCKETS - 1
     tasks = [host.task() for _ in range(spared + 1)]
     host.read(*tasks)
-    held = [[]] * (spared - cores)
-    assert [host.fates(task) for task in tasks] == [["start"]] * cores + held + [["reject"]]
+    fates = [host.fates(task) for task in tasks]
+    assert fates == [*[["start"]] * cores, *[[]] * (spared - cores), ["reject"]]
 
 
 def test_users_beyond_their_owners_share_go_first() -> None:
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter, deque
-from itertools import takewhile
+from itertools import islice, takewhile
 from random import Random
 from statistics import fmean, median_high
 
@@ -17,9 +17,7 @@
 SECOND = 1_000 * MS
 
 TICK = 25 * MS  # the detectors' timer; it also looks after the nearest time limit
-WINDOW = 8  # ticks in a detector's window
-HIGH = 0.9  # the percentile of a window that counts
-FIRE_AFTER = 3  # consecutive windows in violation that make a firing
+WINDOW, HIGH, FIRE_AFTER = 8, 0.9, 3  # ticks a window, its percentile that counts, windows that make a firing
 QUEUE_PER_CORE = 2.0  # run queue per core in violation
 INFLECTION = 0.25  # part of a held task's spare time that is gone, in violation
 FAST, SLOW = SECOND, 200  # span of the fast latency average; calm samples in the slow one
@@ -29,12 +27,10 @@
 SEED_SPAN = 2 * SECOND  # throughput just before the overload is counted over this
 CUT_BACK, PROBE_STEP = 0.9, 1.1  # what a firing leaves of the cap, what a probe makes of it
 PROBE_FIRST, PROBE_LAST = SECOND, 8 * SECOND
-SETTLE = SECOND  # a firing sooner than this after a change of the cap is the old crowd's
-LIFT_AFTER = 4 * SECOND  # calm this long lifts the cap
+SETTLE, LIFT_AFTER = SECOND, 4 * SECOND  # a firing sooner is the old crowd's; calm this long lifts the cap
 SHARE_SPAN, SHARE_SLACK = 4 * SECOND, 1.2  # an owner past this many times its share is beyond it
 ARRIVALS_SPAN, WIDE_SPAN = 3 * SECOND, 6 * SECOND  # the latter for rejections that show a wide overload
-BUCKETS = 16  # user buckets in a level
-CUT_FALL = SECOND  # the cut comes down a bucket at a time, a whole level in this long
+BUCKETS, CUT_FALL = 16, SECOND  # user buckets a level; the cut comes down by buckets, a level in this long
 
 START_CROWD = 1.5  # running tasks a core before there is history
 CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
@@ -98,6 +94,7 @@
         self.chance = Random(seed).random
         self.rows = [Row(bench, place) for place in range(len(bench.stages))]
         self.levels = max((row.level for row in self.rows), default=0) + 1
+        self.short_hold = bench.cores + SHORT_HOLD * bench.cores**0.5
         self.due_span = min(stage.due_span for stage in bench.stages)
         self.born = now
         self.begun = False
@@ -124,7 +121,7 @@
         # cap and cut
         self.limit = float(bench.cores)
         self.finishes: deque[int] = deque(maxlen=512)
-        self.rejections: deque[int] = deque(maxlen=1024)
+        self.rejections: deque[tuple[int, int]] = deque(maxlen=1024)  # when, how old its next try will be
         self.arrivals: deque[tuple[int, int, bool]] = deque(maxlen=2048)
         self.asked: list[deque[int]] = [deque(maxlen=256) for _ in bench.owners]  # first tries by owner
         self.over = [0.0 for _ in bench.owners]  # part of an owner's traffic that is beyond its share
@@ -200,6 +197,10 @@
                     again, due = True, due - int(stage.limit_span * (1 - part))
                 if not task.again:
                     self.patience.append(part)
+            # A marked try of untold age was most likely rejected where things are as they are here.
+            if task.again and due > task.reached and self.rejections:
+                ages = [age for _, age in islice(reversed(self.rejections), HABIT)]
+                due = min(due, task.reached + stage.due_span - median_high(ages))
             bucket = self._bucket(task)
             within = int(bucket >= self.over[task.owner] * BUCKETS) if self.over else 1
             place = (2 * row.level + within) * BUCKETS + bucket
@@ -221,7 +222,7 @@
                     continue
             # A core free at once is proof of no overload now, whatever the cap learned a second ago. It
             # guards against a cut that outlives its crowd when callers shift between servers.
-            idle = max(self.waiting + self.running, self.on_cores) < bench.cores + SHORT_HOLD * bench.cores**0.5
+            idle = max(self.waiting + self.running, self.on_cores) < self.short_hold
             if limit - ANSWER_EARLY <= now or self._too_late_to_run(task) or (place < self.cut and not idle):
                 self._reject(held, out)
             elif self._memory_short(bench.key_kb if held.effect else 0.0):
@@ -394,8 +395,7 @@
             self.idle_span = idle_span
             out.close_idle(idle_span)
         wanted = self._cut_for(self.cap) if self.cap is not None else 0
-        fall = max(1, BUCKETS * WINDOW * TICK // CUT_FALL)
-        self.cut = max(wanted, self.cut - fall)
+        self.cut = max(wanted, self.cut - max(1, BUCKETS * WINDOW * TICK // CUT_FALL))
         if self.bench.says == "threshold" and self.leave_notice is None:
             value = self._rank_at(self.cut) * SAY_PART
             if value != self.said:
@@ -488,7 +488,7 @@
         if stay_away < UNREAD_BEARABLE * self.due_span:
             stay_away = STAY_SHORT if self.cap is not None and self.bench.says == "none" else 0
         stay_away = min(int(stay_away * (0.5 + self.chance())), self.bench.longest_stay_away)
-        self.rejections.append(self.now)
+        self.rejections.append((self.now, self.now - held.task.reached + stay_away))
         out.reject(held.task.id, self._widespread(), stay_away)
         self._drop(held)
         self._unrun(held, out)
@@ -501,7 +501,7 @@
             return False
         if sum(1 for _, _, again in self.arrivals if again) > RETRY_BUDGET * len(self.arrivals):
             return True
-        lately = sum(1 for when in self.rejections if when > self.now - WIDE_SPAN)
+        lately = sum(1 for when, _ in self.rejections if when > self.now - WIDE_SPAN)
         wide = lately * SECOND > RETRY_BUDGET * self._arriving() * WIDE_SPAN
         return wide and bool(self.slowness) and median_high(self.slowness) < USUAL_PACE
 
