Leave idle connections alone while most arrivals are further tries

A full table turns tries away for nothing, so where over half of the arrivals are marked tries it may fill. Guards against all storms that cost more to turn away than to keep out; harms tasks that meet no server at all while it lasts.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -308,11 +308,13 @@
     assert host.read(late)[0][2] == again
 
 
-@pytest.mark.parametrize(("callers", "span"), [(400, SECOND), (5, None)])
-def test_idle_connections_of_callers_that_seldom_return_are_closed(callers: int, span: int | None) -> None:
+@pytest.mark.parametrize(("callers", "again", "span"), [(400, 0, SECOND), (5, 0, None), (400, 40, None)])
+def test_idle_connections_of_callers_that_seldom_return_are_closed_but_not_in_a_storm_of_tries(
+    callers: int, again: int, span: int | None
+) -> None:
     host = FakeHost()
     for place in range(60):
-        host.read(host.task(caller=place % callers))
+        host.read(host.task(caller=place % callers, again=place < again))
     host.wait(300 * MS)
     assert [said[1] for said in host.said if said[0] == "close_idle"] == ([span] if span else [])
 
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -45,7 +45,7 @@
 SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
-RETRY_BUDGET = 0.2  # part of the arrivals, further tries or rejected, past which elsewhere is no better
+RETRY_BUDGET, STORM = 0.2, 0.5  # parts of arrivals: tries or rejected, so elsewhere is no better; tries alone
 CALLERS_SEEN, SELDOM, IDLE_SHORT = 48, 0.5, SECOND  # of callers that seldom return: recent tasks, part, span
 SHORT_HOLD = 1.45  # tasks waiting for a core under which no cut applies, over the root of the cores
 
@@ -107,8 +107,7 @@
         self.leave_notice: int | None = None
         self.leave_by: int | None = None
         # detectors
-        self.queue_samples: deque[float] = deque(maxlen=WINDOW)
-        self.wait_samples: deque[float] = deque(maxlen=WINDOW)
+        self.queue_samples, self.wait_samples = deque[float](maxlen=WINDOW), deque[float](maxlen=WINDOW)
         self.violations = [0, 0]
         self.latencies: deque[tuple[int, int]] = deque(maxlen=SLOW)
         self.calm: deque[int] = deque(maxlen=SLOW)
@@ -253,8 +252,7 @@
         """The user's bucket, the same in every server and life: the hashed key, or the rank if keyless."""
         if task.user is not None:
             return (task.user * 0x9E3779B97F4A7C15 >> 40) % BUCKETS
-        part = task.rank * len(self.rows)
-        return int((part - int(part)) * BUCKETS) % BUCKETS
+        return int(task.rank * len(self.rows) % 1 * BUCKETS)
 
     def _times(self) -> float:
         """How many times its usual pace a run should take: hopefully while there is room for all, soberly
@@ -390,7 +388,9 @@
         self._weigh_owners()
         # A connection whose caller seldom returns costs room and work for nothing. Guards against a table
         # that fills until callers get no connection; could harm where opening one costs very much.
-        idle_span = IDLE_SHORT if len(set(self.callers)) > SELDOM * CALLERS_SEEN else 0
+        # In a storm of further tries a full table is left: what it turns away costs nothing to read.
+        storm = sum(1 for _, _, again in self.arrivals if again) > STORM * len(self.arrivals)
+        idle_span = IDLE_SHORT if len(set(self.callers)) > SELDOM * CALLERS_SEEN and not storm else 0
         if idle_span != self.idle_span:
             self.idle_span = idle_span
             out.close_idle(idle_span)
