A cold server jammed with unread tasks is off the list until it has read them

Told from plain overload by the idle cores beside the jams. Health goes bad only while cold and jammed, where lists follow health. Guards against cold starts of any cause; harms where a whole fleet starts cold at once.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -290,6 +290,17 @@
     assert any(said[0] == "reject" and said[3] > 0 for said in host.said)
 
 
+@pytest.mark.parametrize(("fresh", "good"), [(True, [True, False, True]), (False, [True])])
+def test_a_cold_server_jammed_with_unread_tasks_is_off_the_list_until_they_are_read(
+    fresh: bool, good: list[bool]
+) -> None:
+    host = FakeHost(fresh=fresh)
+    jam(host, SECOND, unread=600 * MS)
+    host.wait(SECOND)
+    told = [said[1] for said in host.said if said[0] == "health"]
+    assert [now for now, before in zip(told, [None, *told], strict=False) if now != before] == good
+
+
 def test_where_no_level_can_be_sent_rejections_ask_to_stay_away_briefly() -> None:
     host = FakeHost(says="none")
     served(host, 5 * SECOND)
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -18,11 +18,9 @@
 
 TICK = 25 * MS  # the detectors' timer; it also looks after the nearest time limit
 WINDOW, HIGH, FIRE_AFTER = 8, 0.9, 3  # ticks a window, its percentile that counts, windows that make a firing
-QUEUE_PER_CORE = 2.0  # run queue per core in violation
-INFLECTION = 0.25  # part of a held task's spare time that is gone, in violation
+QUEUE_PER_CORE, INFLECTION = 2.0, 0.25  # in violation: run queue; part of a held task's spare time gone
 FAST, SLOW = SECOND, 200  # span of the fast latency average; calm samples in the slow one
-CROSSING = 1.1  # the fast average must pass the slow one times this
-CALM_SAMPLES = 12  # fewer calm samples than this are no history
+CROSSING, CALM_SAMPLES = 1.1, 12  # fast over slow latency that confirms; fewer calm samples are no history
 
 SEED_SPAN = 2 * SECOND  # throughput just before the overload is counted over this
 CUT_BACK, PROBE_STEP = 0.9, 1.1  # what a firing leaves of the cap, what a probe makes of it
@@ -32,18 +30,15 @@
 ARRIVALS_SPAN, WIDE_SPAN = 3 * SECOND, 6 * SECOND  # the latter for rejections that show a wide overload
 BUCKETS, CUT_FALL = 16, SECOND  # user buckets a level; the cut comes down by buckets, a level in this long
 
-START_CROWD = 1.5  # running tasks a core before there is history
-CROWD_WINDOWS = 100  # calm windows whose peaks are remembered
+START_CROWD, CROWD_WINDOWS = 1.5, 100  # running a core before there is history; calm windows remembered
 CROWD_GUARD, MEMORY_GUARD = 0.7, 0.9  # parts of the crowd bound, at the present warmth, and of memory, used
 PACE_SAMPLES, SLOWNESS_SAMPLES = 48, 8  # calm run times kept a stage; recent runs over these, all stages
-TRUSTED = 0.25  # the percentile of a stage's pace that an estimate trusts
-OVERTAKEN = 1.5  # of the time foreseen, that a run stopped at its due time is taken to need
+TRUSTED, OVERTAKEN = 0.25, 1.5  # a pace's percentile that is trusted; of the time foreseen, for a stopped run
 SAME_PATIENCE, HABIT = 0.01, 32  # of the time limit; one in so many tries alike makes a caller's habit
 CALL_TRIES = 2  # for one run, the first included
 ANSWER_EARLY, LEAVE_EARLY = 2 * TICK, 200 * MS
-STAY_SHORT = 200 * MS  # advice to those rejected under a cap where no level can be sent
 SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
-UNREAD_BEARABLE = 0.1  # part of the shortest due span that a task may lie unread before it is a jam
+UNREAD_BEARABLE, STAY_SHORT = 0.1, 200 * MS  # part of a due span unread, past that a jam; advice for no level
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
 RETRY_BUDGET, STORM = 0.2, 0.5  # parts of arrivals: tries or rejected, so elsewhere is no better; tries alone
 CALLERS_SEEN, SELDOM, IDLE_SHORT = 48, 0.5, SECOND  # of callers that seldom return: recent tasks, part, span
@@ -394,6 +389,11 @@
         if idle_span != self.idle_span:
             self.idle_span = idle_span
             out.close_idle(idle_span)
+        # A cold server jammed with unread tasks is off the list until it has read them. Guards against cold
+        # successors that take a warm one's traffic; could harm where all of a fleet starts at once.
+        age, cold = now - self.born, self.bench.cold_span
+        if self.bench.fresh and age < cold + SECOND and self.leave_notice is None:
+            out.health(age > cold or self._unread_wait() <= UNREAD_BEARABLE * self.due_span, True)
         wanted = self._cut_for(self.cap) if self.cap is not None else 0
         self.cut = max(wanted, self.cut - max(1, BUCKETS * WINDOW * TICK // CUT_FALL))
         if self.bench.says == "threshold" and self.leave_notice is None:
