An owner is beyond its share only past one root of the count that the share allows

Cause: at six tasks a second a small share is a task or two in four seconds, so chance alone passed it by a fifth and shed owners within it. The bound is now the allowed count, a fifth more, and its root. Guards against judging by noise at any size; harms by seeing a small studio's burst a little later.

--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -415,8 +415,8 @@
         for place, (owner, asked) in enumerate(zip(self.bench.owners, self.asked, strict=True)):
             while asked and asked[0] <= since:
                 asked.popleft()
-            asking = len(asked) * SECOND / SHARE_SPAN * self.bench.servers
-            self.over[place] = max(0.0, 1.0 - owner.allowance * SHARE_SLACK / max(asking, 1e-9))
+            within = owner.allowance * SHARE_SPAN / SECOND / self.bench.servers
+            self.over[place] = max(0.0, 1.0 - (within * SHARE_SLACK + within**0.5) / max(len(asked), 1))
 
     def _cut_for(self, cap: float) -> int:
         """The lowest cut whose rest fits the cap; empty levels and buckets are skipped."""
