--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -7,7 +7,8 @@
 
 from tests.host import BOOKING, LOOKUP, ORDER, FakeHost, owners
 from thistleline.policy import BUCKETS, MS, SECOND
-from thistleline.wirehost.host import main, nanos, seconds
+from thistleline.wire.bench import nanos
+from thistleline.wirehost.host import main, seconds
 
 FINAL = {"reject", "abandon"}
 
--- /dev/null
+++ b/thistleline/__main__.py
@@ -0,0 +1,37 @@
+"""Starts one server: `python -m thistleline`, told by ROUTER_CONFIG."""
+
+import signal
+import sys
+from typing import Any
+
+
+def main() -> int:
+    def leave(*_: Any) -> None:
+        raise SystemExit(0)  # nothing listens yet, so nothing is owed
+
+    signal.signal(signal.SIGTERM, leave)
+
+    import os
+
+    import anyio
+
+    from thistleline.life.log import complain
+    from thistleline.life.plate import read_plate
+    from thistleline.life.service import Service
+    from thistleline.wire.bench import Malformed
+
+    try:
+        plate = read_plate(os.environ)
+    except Malformed as error:
+        complain(str(error))
+        return 2
+    try:
+        anyio.run(Service(plate).run)
+    except OSError as error:
+        complain(f"{plate.name} can't listen on {plate.listen[0]}:{plate.listen[1]}: {error.strerror}")
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/thistleline/life/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: what carries the effects out, from the first phase to the exit."""
--- /dev/null
+++ b/thistleline/life/announcer.py
@@ -0,0 +1,78 @@
+"""Reports to the announce service while the server may take tasks."""
+
+from collections.abc import Callable
+
+import anyio
+import h11
+from anyio.abc import TaskGroup
+
+from thistleline.life.plate import Address
+from thistleline.life.streams import Stream, connect
+from thistleline.wire.announce import Reports
+
+EVERY = 1.0  # an entry lapses three seconds after the last report
+PATIENCE = 1.0  # for a report, its connection included
+PAUSE = 0.25  # after one that failed
+ANSWER_BOUND = 16 * 1024
+
+
+class Announcer:
+    def __init__(self, name: str, address: Address, group: TaskGroup, log: Callable[..., None]) -> None:
+        self.name, self.address, self.group, self.log = name, address, group, log
+        self.accepting = True
+        self.changed = anyio.Event()
+        self.stream: Stream | None = None
+        self.reports = Reports(f"{address[0]}:{address[1]}")
+        self.healthy = True
+
+    def effects(self) -> dict[str, Callable[..., None]]:
+        """What it carries out, by the kind of effect."""
+        return {"accepting": self.tell}
+
+    def tell(self, accepting: bool) -> None:
+        self.accepting = accepting
+        self.changed.set()
+
+    async def keep_reporting(self) -> None:
+        """Ends with the first report that nothing is accepted any more: the entry may lapse then."""
+        while True:
+            accepting = self.accepting
+            done = await self._report(accepting)
+            if done and not accepting:
+                return
+            with anyio.move_on_after(EVERY if done else PAUSE):
+                await self.changed.wait()
+            if self.changed.is_set():
+                self.changed = anyio.Event()
+
+    async def _report(self, accepting: bool) -> bool:
+        why = ""
+        try:
+            with anyio.fail_after(PATIENCE):
+                status = await self._ask(accepting)
+            if status != 204:
+                why = f"status {status}"
+        except (OSError, TimeoutError, h11.ProtocolError, anyio.ClosedResourceError) as error:
+            why = str(error) or type(error).__name__
+        if (why or not self.reports.again()) and self.stream is not None:
+            self.stream.close()
+            self.stream = None
+        if bool(why) == self.healthy:
+            self.healthy = not why
+            self.log("announce", state="down" if why else "up", why=why)
+        return not why
+
+    async def _ask(self, accepting: bool) -> int:
+        if self.stream is None:
+            sock = await connect(self.address)
+            self.stream = Stream(sock, self.group, ANSWER_BOUND, ANSWER_BOUND)
+            self.reports = Reports(self.reports.host)
+        stream = self.stream
+        stream.write(self.reports.report(self.name, accepting))
+        stream.flush()
+        while True:
+            stream.ask()
+            count = await stream.read()
+            status = self.reports.answered(stream.buffer.take(count))
+            if status is not None:
+                return status
--- /dev/null
+++ b/thistleline/life/farm.py
@@ -0,0 +1,80 @@
+"""The link to the render farm agent: held open, made anew when it ends."""
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from thistleline.life.plate import Address
+from thistleline.life.streams import Stream, connect
+from thistleline.wire import agent
+from thistleline.wire.bench import Malformed
+
+WRITE_BOUND = 4 * 1024 * 1024
+PATIENCE = 1.0  # for a connection
+PAUSES = (0.02, 0.05, 0.1, 0.2, 0.4)  # between tries, the last one again and again
+
+
+class Farm:
+    def __init__(self, address: Address, take: Callable[..., None], group: TaskGroup) -> None:
+        self.address, self.take, self.group = address, take, group
+        self.stream: Stream | None = None
+
+    async def hold(self, notice: Callable[[], int]) -> None:
+        tries = 0
+        while True:
+            why = "closed"
+            try:
+                with anyio.fail_after(PATIENCE):
+                    sock = await connect(self.address)
+                self.stream = Stream(sock, self.group, agent.BUFFER_BOUND, WRITE_BOUND)
+                self.stream.write(agent.subscribe(notice()))
+                self.stream.flush()
+                while True:
+                    self.stream.ask()
+                    if not await self.stream.read():
+                        break
+                    for told in agent.notices(self.stream.buffer):
+                        tries = 0
+                        self.take(*told)
+            except (OSError, TimeoutError, anyio.ClosedResourceError) as error:
+                why = str(error) or type(error).__name__
+            except Malformed as error:
+                why = str(error)
+            if self.stream is not None:
+                self.stream.close()
+                self.stream = None
+            self.take("unlinked", why)
+            await anyio.sleep(PAUSES[min(tries, len(PAUSES) - 1)])
+            tries += 1
+
+    # ---- effects
+
+    def effects(self) -> dict[str, Callable[..., None]]:
+        """What it carries out, by the kind of effect."""
+        return {
+            "launch": self.launch,
+            "freeze": self.freeze,
+            "sample": self.sample,
+            "exercise": self.exercise,
+        }
+
+    def _write(self, data: bytes) -> None:
+        if self.stream is not None:
+            self.stream.write(data)
+
+    def launch(self, task: str, stage: str, body: bytes) -> None:
+        self._write(agent.launch(task, stage, body))
+
+    def freeze(self, task: str) -> None:
+        self._write(agent.freeze(task))
+
+    def sample(self, tag: str) -> None:
+        self._write(agent.sample(tag))
+
+    def exercise(self, tag: str) -> None:
+        self._write(agent.exercise(tag))
+
+    def flush(self) -> None:
+        if self.stream is not None and not self.stream.flush():
+            self.stream.close()  # the reader learns of it and makes a new link
--- /dev/null
+++ b/thistleline/life/plate.py
@@ -0,0 +1,66 @@
+"""The plate that a server finds fixed to it at start: its name, its addresses, its limits and its bench."""
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from thistleline.interface import Bench
+from thistleline.wire.bench import Malformed, read_bench, read_gauges, read_granularity
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Plate:
+    name: str
+    listen: Address
+    agent: Address
+    announce: Address
+    seed: int
+    stop_span: int  # from the notice to leave to the stop
+    descriptors: int
+    bench: Bench
+    gauges: tuple[str, ...]
+    granularity: int
+
+
+def read_plate(environ: Mapping[str, str]) -> Plate:
+    """Raises Malformed with one plain line; keys that are not known are passed over."""
+    path = environ.get("ROUTER_CONFIG")
+    if not path:
+        raise Malformed("ROUTER_CONFIG names no file")
+    try:
+        with open(path, "rb") as file:
+            told = orjson.loads(file.read())
+        settings = told["settings"]
+        plate = Plate(
+            name=str(environ.get("ROUTER_NAME") or told["name"]),
+            listen=_address(environ.get("ROUTER_LISTEN") or told["listen"]),
+            agent=_address(told["agent"]),
+            announce=_address(told["announce"]),
+            seed=int(str(told["seed"]), 16),
+            stop_span=int(told["stop_ms"]) * 1_000_000,
+            descriptors=min(int(told["limits"]["sockets"]), os.sysconf("SC_OPEN_MAX")),
+            bench=read_bench(settings),
+            gauges=read_gauges(settings),
+            granularity=read_granularity(settings),
+        )
+    except OSError as error:
+        raise Malformed(f"{path}: {error.strerror}") from error
+    except KeyError as error:
+        raise Malformed(f"{path}: {error.args[0]!r} is missing or unknown") from error
+    except (ValueError, TypeError, ArithmeticError, AttributeError) as error:
+        raise Malformed(f"{path}: {' '.join(str(error).split())}") from error
+    if plate.bench.below != "none":
+        raise Malformed(f"{path}: the agent's protocol has no calls to what lies below")
+    return plate
+
+
+def _address(text: Any) -> Address:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise Malformed(f"{text!r} is no address")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/thistleline/life/service.py
@@ -0,0 +1,139 @@
+"""The server as one program: task groups that feed the reducer and carry out its effects."""
+
+import gc
+import os
+import resource
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import anyio
+import anyio.lowlevel
+
+from thistleline.life.announcer import Announcer
+from thistleline.life.clock import Clock
+from thistleline.life.farm import Farm
+from thistleline.life.front import Front, listen
+from thistleline.life.log import Log
+from thistleline.life.phases import Phases
+from thistleline.life.plate import Plate
+from thistleline.memory.reducer import Reducer
+from thistleline.wire.thrift import Stubs
+
+MS, SECOND = 1_000_000, 1_000_000_000
+RESERVE = 24  # descriptors that are no client stub's: listener, links, log, the loop's own
+FIGURES_EVERY = 5.0
+
+
+class Service:
+    def __init__(self, plate: Plate) -> None:
+        self.plate = plate
+        self.clock = Clock()
+        self.log = Log(plate.name)
+        self.phases = Phases()
+        self.reducer = Reducer(
+            plate.bench,
+            plate.gauges,
+            plate.granularity,
+            max(1, plate.descriptors - RESERVE),
+            plate.seed,
+            self.clock.now(),
+            self.phases,
+        )
+        self.woken = anyio.Event()
+        self.sleeps_until = 0
+        self.busy = False
+        self.does: dict[str, Callable[..., None]] = {}
+        self.late = self.longest = 0  # the worst since the last figures
+
+    async def run(self) -> None:
+        """Raises OSError where it can't listen."""
+        listener = listen(self.plate.listen)
+        async with anyio.create_task_group() as group:
+            front = self.front = Front(listener, Stubs(self.plate.bench), self.take_task, group)
+            farm = self.farm = Farm(self.plate.agent, self.take, group)
+            announcer = Announcer(self.plate.name, self.plate.announce, group, self.note)
+            for effects in (front.effects(), farm.effects(), announcer.effects()):
+                self.does |= effects
+            self.does |= {"log": self.told, "end": group.cancel_scope.cancel}
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                self.take("listening")
+                group.start_soon(front.accept)
+                group.start_soon(farm.hold, lambda: self.reducer.notice)
+                group.start_soon(announcer.keep_reporting)
+                group.start_soon(self.pump)
+                group.start_soon(self.figures)
+                gc.collect()
+                gc.freeze()
+                async for _ in signals:
+                    self.take("leave", self.clock.now() + self.plate.stop_span)
+
+    def take_task(self, kind: str, *told: Any) -> None:
+        if kind == "task":
+            connection, seq, task, word, body = told
+            skew = self.clock.skew()
+            if abs(skew) > MS:
+                task = replace(task, reached=task.reached + skew)
+            told = connection, seq, task, word, body
+        self.take(kind, *told)
+
+    def take(self, kind: str, *told: Any) -> None:
+        """One input into the reducer; its effects are carried out before anything else is read."""
+        for effect in self.reducer.take(self.clock.now(), kind, *told):
+            self.does[effect[0]](*effect[1:])
+        if not self.busy:
+            self.busy = True
+            for name in self.front.flush():
+                self.front.close(name)
+                self.take("ended", name, "gone, or does not read")
+            self.farm.flush()
+            self.busy = False
+        if self.reducer.due() < self.sleeps_until:
+            self.woken.set()
+
+    async def pump(self) -> None:
+        """Rings for the reducer when it is due. After a pause all that lies unread is read first."""
+        while True:
+            due = self.reducer.due()
+            wait = due - self.clock.now()
+            if wait > 0:
+                self.woken, self.sleeps_until = anyio.Event(), due
+                with anyio.move_on_after(wait / SECOND):
+                    await self.woken.wait()
+                self.sleeps_until = 0
+                continue
+            for _ in range(3):
+                await anyio.lowlevel.checkpoint()
+            alarm = self.reducer.alarms.due()
+            if alarm is not None:
+                self.late = max(self.late, self.clock.now() - alarm)
+            begun = time.monotonic_ns()
+            self.take("round")
+            self.longest = max(self.longest, time.monotonic_ns() - begun)
+
+    async def figures(self) -> None:
+        while True:
+            await anyio.sleep(FIGURES_EVERY)
+            usage = resource.getrusage(resource.RUSAGE_SELF)
+            self.note(
+                "figures",
+                **self.reducer.figures,
+                held=len(self.reducer.tries),
+                runs=len(self.reducer.runs),
+                entries=len(self.reducer.entries.by_key),
+                open=len(self.reducer.connections),
+                descriptors=len(os.listdir("/proc/self/fd")),
+                cpu_ms=int((usage.ru_utime + usage.ru_stime) * 1000),
+                peak_kb=usage.ru_maxrss,
+                late_us=self.late // 1000,
+                longest_us=self.longest // 1000,
+            )
+            self.late = self.longest = 0
+
+    def note(self, event: str, **facts: Any) -> None:
+        self.log.event(self.clock.now(), event, facts)
+
+    def told(self, event: str, facts: dict[str, Any]) -> None:
+        self.log.event(self.clock.now(), event, facts)
--- /dev/null
+++ b/thistleline/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept: the reducer and its tables."""
--- /dev/null
+++ b/thistleline/memory/reducer.py
@@ -0,0 +1,519 @@
+"""Every change of state, for whatever protocol: an input goes in, effects come out. No I/O, no clock here.
+
+Inputs are a kind and its values:
+
+    opened connection | task connection seq Task word body | probe connection seq inner
+    malformed connection seq method text | drained connection | ended connection why
+    greeting fresh age | outcome number id how took result | sampled tag values | exercised tag good
+    refusal command id | remark number | unknown text | unlinked why
+    listening | leave by | round
+
+Effects are plain tuples:
+
+    (read connection) (close connection) (farewell connection) (deaf)
+    (finished connection seq result level) (abandoned connection seq level)
+    (rejected connection seq nowhere_else stay_away level)
+    (health connection seq good level) (exception connection seq method text)
+    (launch id stage body) (freeze id) (sample tag) (exercise tag)
+    (accepting flag) (log event facts) (end)
+
+The module is called once a round with all that came in; `Reducer` is the writer that its decisions go to.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from thistleline.interface import Bench, CameIn, Task
+from thistleline.life.phases import Phases
+from thistleline.memory.tables import Alarms, Connection, Entries, Key, Run, Try
+from thistleline.policy import Policy
+
+SECOND = 1_000_000_000
+OPEN_BOUND = 32  # tasks in hand on a connection; past it the connection is not read
+SWEEP = SECOND // 4  # how often connections and entries are looked through
+FAREWELL_SPAN = SECOND // 5  # after a farewell, a connection with nothing open is closed
+END_EARLY = SECOND // 10  # before the stop
+EXERCISES_BOUND = 64
+
+Effect = tuple[Any, ...]
+
+
+class Reducer:
+    def __init__(
+        self,
+        bench: Bench,
+        gauges: tuple[str, ...],
+        granularity: int,
+        connections: int,
+        seed: int,
+        now: int,
+        phases: Phases,
+    ) -> None:
+        self.bench, self.gauges, self.granularity = bench, gauges, granularity
+        self.connections_bound, self.seed, self.now, self.phases = connections, seed, now, phases
+        self.effects: list[Effect] = []
+        self.came_in: list[CameIn] = []
+        self.last_round = 0
+        self.next_sweep = now
+        self.entry_slack = max(stage.limit_span for stage in bench.stages)
+        self.connections: dict[int, Connection] = {}
+        self.tries: dict[str, Try] = {}
+        self.runs: dict[str, Run] = {}
+        self.entries = Entries()
+        self.this_round: dict[Key, str] = {}  # marked tasks that the module has not seen yet
+        self.alarms = Alarms()
+        self.ringing: list[str] = []  # alarms that wait for their gauges,
+        self.ring_by = 0  # until then
+        # the agent
+        self.linked = self.greeted = False
+        self.notice = 0  # number of the last one read
+        self.samples = 0  # asked for so far; a tag is the number of its sample
+        self.answered = 0  # number of the last one answered
+        self.mark: int | None = None  # the sample after which all missed notices were read
+        self.exercises: dict[str, tuple[int, int]] = {}
+        # what the module has said
+        self.good, self.from_store = True, True
+        self.level: float | None = None
+        self.idle_span = 0
+        self.stop_by: int | None = None
+        self.figures: dict[str, int] = {}
+        self.does: dict[str, Callable[..., None]] = {
+            kind: getattr(self, f"_{kind}")
+            for kind in [
+                "opened",
+                "task",
+                "probe",
+                "malformed",
+                "drained",
+                "ended",
+                "listening",
+                "greeting",
+                "outcome",
+                "sampled",
+                "exercised",
+                "refusal",
+                "remark",
+                "unknown",
+                "unlinked",
+                "leave",
+                "round",
+            ]
+        }
+        self.module = Policy(bench, seed, now)
+        self._call_module()
+
+    # ---- from outside
+
+    def take(self, now: int, kind: str, *told: Any) -> list[Effect]:
+        self.now = max(self.now, now)
+        self.does[kind](*told)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def due(self) -> int:
+        """When the next `round` is wanted."""
+        due = self.next_sweep
+        alarm = self.alarms.due()
+        if alarm is not None:
+            due = min(due, alarm)
+        if self.ringing:
+            due = min(due, self.ring_by)
+        if self.came_in:
+            due = min(due, self.last_round + self.granularity)
+        return due
+
+    def _round(self) -> None:
+        """What the clock brings: alarms, then one call of the module for all that lies read."""
+        names = self.alarms.take(self.now)
+        if names:
+            self.ringing += names
+            if self.linked and self.mark is None:
+                self._sample()
+                self.ring_by = self.now + self.granularity
+            else:
+                self.ring_by = self.now
+        if self.ringing and self.now >= self.ring_by:
+            self._ring({})  # without an answer: time limits hang on it
+        if self.came_in and self.now >= self.last_round + self.granularity:
+            self._call_module()
+        if self.now >= self.next_sweep:
+            self._sweep()
+        if self.phases.name == "leaving":
+            self._end_if_done()
+
+    def _call_module(self) -> None:
+        came_in, self.came_in = self.came_in, []
+        for item in came_in:
+            if item[0] == "task":
+                self.tries[item[1].id].told = True
+        self.this_round.clear()
+        self.last_round = self.now
+        self.module.round(self.now, came_in, self)
+
+    def _ring(self, gauges: dict[str, float]) -> None:
+        self.came_in += [("bell", name, gauges) for name in self.ringing]
+        self.ringing = []
+
+    def _sample(self) -> None:
+        self.samples += 1
+        self.effects.append(("sample", str(self.samples)))
+
+    def _log(self, event: str, **facts: Any) -> None:
+        self.effects.append(("log", event, facts))
+
+    def _count(self, what: str) -> None:
+        self.figures[what] = self.figures.get(what, 0) + 1
+
+    # ---- start and stop
+
+    def _listening(self) -> None:
+        self.phases.move("awaiting agent")
+        self._log("phase", phase=self.phases.name)
+
+    def _leave(self, by: int) -> None:
+        if self.phases.over:
+            return
+        self.phases.move("leaving")
+        self._log("phase", phase=self.phases.name, held=len(self.tries), runs=len(self.runs))
+        self.stop_by = by
+        self.came_in.append(("leave", by))
+        self.effects += [("accepting", False), ("deaf",)]
+        for name, connection in self.connections.items():
+            self._farewell(name, connection)
+
+    def _end_if_done(self) -> None:
+        """Ends once nothing is owed and no connection is left, or just before the stop."""
+        assert self.stop_by is not None
+        if (
+            not self.tries and not self.connections and not self.came_in
+        ) or self.now >= self.stop_by - END_EARLY:
+            self.phases.move("ended")
+            self._log(
+                "phase", phase=self.phases.name, owed=len(self.tries), connections=len(self.connections)
+            )
+            self.effects.append(("end",))
+
+    # ---- connections
+
+    def _opened(self, name: int) -> None:
+        connection = self.connections[name] = Connection(self.now)
+        self._count("connections")
+        self.effects.append(("read", name))
+        if self.phases.over:
+            self._farewell(name, connection)
+        if len(self.connections) > self.connections_bound:
+            # Guards the descriptors: the one that has carried nothing for longest gives way.
+            idle = [other for other, told in self.connections.items() if not told.open]
+            self._close(min(idle, key=lambda other: self.connections[other].carried))
+
+    def _drained(self, name: int) -> None:
+        connection = self.connections.get(name)
+        if connection is not None:
+            connection.carried = self.now
+            connection.stalled = len(connection.open) >= OPEN_BOUND
+            if not connection.stalled:
+                self.effects.append(("read", name))
+
+    def _ended(self, name: int, why: str) -> None:
+        """Lets the connection's tasks go. An effect that runs goes on, for its repeats' sake."""
+        connection = self.connections.pop(name, None)
+        if connection is None:
+            return
+        if why or connection.open:
+            self._log("connection ended", connection=name, why=why, open=len(connection.open))
+        unseen = set()
+        for task in connection.open:
+            held = self.tries.pop(task)
+            if held.told:
+                self.came_in.append(("gone", task))
+            else:
+                unseen.add(task)
+                if held.key is not None and self.this_round.get(held.key) == task:
+                    del self.this_round[held.key]
+        if unseen:
+            # The module takes all that is gone before it reads; guards against starting what nobody awaits.
+            self.came_in = [item for item in self.came_in if item[0] != "task" or item[1].id not in unseen]
+
+    def _close(self, name: int) -> None:
+        self.effects.append(("close", name))
+        self._ended(name, "")
+
+    def _farewell(self, name: int, connection: Connection) -> None:
+        if connection.farewell is None:
+            connection.farewell = self.now
+            self.effects.append(("farewell", name))
+
+    def _sweep(self) -> None:
+        self.next_sweep = self.now + SWEEP
+        for name, connection in list(self.connections.items()):
+            if connection.open:
+                continue
+            idle = self.now - connection.carried
+            if connection.farewell is not None and self.now - connection.farewell >= FAREWELL_SPAN <= idle:
+                self._close(name)
+            elif self.idle_span and idle >= self.idle_span:
+                self._farewell(name, connection)
+        self.entries.expire(self.now - self.entry_slack, self.runs)
+
+    # ---- tasks
+
+    def _task(self, name: int, seq: int, task: Task, word: str | None, body: memoryview) -> None:
+        connection = self.connections.get(name)
+        if connection is None:
+            return
+        if task.id in self.tries or task.id in self.runs:
+            self.effects.append(("exception", name, seq, b"process", "this try is in hand already"))
+            return
+        self._count("tasks")
+        key = None if word is None else (task.stage, word)
+        held = Try(name, seq, task.stage, min(task.reached, self.now), key, bytes(body))
+        if key is not None:
+            held.repeats = self._repeated(key, held.since)
+            if self.bench.stages[task.stage].effect == "fingerprinted":
+                self.this_round[key] = task.id
+        if held.repeats is not None or task.reached != held.since:
+            task = replace(task, repeats=held.repeats, reached=held.since)
+        self.tries[task.id] = held
+        connection.open[task.id] = None
+        self.came_in.append(("task", task))
+
+    def _repeated(self, key: Key, since: int) -> str | None:
+        """The task that one with this key repeats. What reached us in time counts, however late read."""
+        entry = self.entries.by_key.get(key)
+        if self.bench.stages[key[0]].effect == "fingerprinted":
+            if entry is not None and (entry.until > since or entry.ran in self.runs):
+                return entry.task
+            return self.this_round.get(key)
+        if entry is None or entry.until <= since or entry.how not in (None, "finished"):
+            return None
+        if entry.how and (entry.result is None or entry.ended + self.bench.answer_fresh_for <= since):
+            return None
+        return entry.task
+
+    def _probe(self, name: int, seq: int, inner: bool) -> None:
+        if inner and not self.from_store and self.linked and len(self.exercises) < EXERCISES_BOUND:
+            tag = f"check-{name}-{seq}"
+            self.exercises[tag] = (name, seq)
+            self.effects.append(("exercise", tag))
+            return
+        self._tell_health(name, seq, not inner or self.from_store or self.linked)
+
+    def _tell_health(self, name: int, seq: int, good: bool) -> None:
+        self.effects.append(("health", name, seq, self.good and self.greeted and good, self.level))
+
+    def _malformed(self, name: int, seq: int | None, method: bytes, text: str) -> None:
+        if name not in self.connections:
+            return
+        self._log("malformed", connection=name, text=text)
+        if seq is None:
+            self._close(name)
+        else:
+            self.effects.append(("exception", name, seq, method, text))
+
+    def _answered(self, task: str) -> Try | None:
+        """The one place where a try stops being owed an answer: whoever gets it from here answers it."""
+        held = self.tries.pop(task, None)
+        if held is not None:
+            connection = self.connections[held.connection]
+            connection.open.pop(task, None)
+            connection.carried = self.now
+            if connection.stalled and len(connection.open) < OPEN_BOUND:
+                connection.stalled = False
+                self.effects.append(("read", held.connection))
+        return held
+
+    def _finish(self, task: str, result: bytes | memoryview) -> bool:
+        held = self._answered(task)
+        if held is not None:
+            self._count("finished")
+            self.effects.append(("finished", held.connection, held.seq, result, self.level))
+        return held is not None
+
+    # ---- the agent
+
+    def _greeting(self, fresh: bool, age: int) -> None:
+        self.linked = True
+        self._log("agent", state="up", fresh=fresh, age_ms=age // 1_000_000, notice=self.notice)
+        self._sample()
+        self.mark = self.samples
+        if self.greeted:
+            return
+        self.greeted = True
+        if self.phases.name == "awaiting agent":
+            self.phases.move("serving")
+            self._log("phase", phase=self.phases.name)
+        if not self.tries and not self.runs and not self.phases.over:
+            # Only the agent knows how long the machine has been up and whether it began cold.
+            self.bench = replace(self.bench, fresh=fresh)
+            self.alarms, self.ringing, self.came_in = Alarms(), [], []
+            self.module = Policy(self.bench, self.seed, self.now - age)
+            self._call_module()
+
+    def _unlinked(self, why: str) -> None:
+        if self.linked:
+            self._log("agent", state="lost", why=why, runs=len(self.runs))
+        self.linked, self.mark = False, None
+        for name, seq in self.exercises.values():
+            if name in self.connections:
+                self._tell_health(name, seq, False)
+        self.exercises.clear()
+
+    def _seen(self, number: int) -> bool:
+        """Whether a notice came before: after a link's end some come twice."""
+        if number <= self.notice:
+            return True
+        self.notice = number
+        return False
+
+    def _outcome(self, number: int, task: str, how: str, took: int, result: memoryview) -> None:
+        if not self._seen(number):
+            self._run_over(task, how, took, result)
+
+    def _run_over(self, task: str, how: str, took: int, result: bytes | memoryview) -> None:
+        run = self.runs.pop(task, None)
+        if run is None:
+            return
+        if how == "finished":
+            self._finish(task, result)
+        else:
+            self.abandon(task)
+        self.came_in.append(("over", task, how, took))
+        if run.key is not None:
+            entry = self.entries.by_key.get(run.key)
+            if entry is not None and entry.ran == task:
+                self.entries.keep(run.key, how, self.now, bytes(result) if how == "finished" else None)
+        for repeat in run.waiting:
+            self._repeat_over(repeat, result if how == "finished" else None)
+
+    def _repeat_over(self, task: str, result: bytes | memoryview | None) -> None:
+        if result is not None:
+            if self._finish(task, result):
+                self.came_in.append(("over", task, "finished", 0))
+        elif task in self.tries:
+            self.abandon(task)
+            self.came_in.append(("over", task, "failed", 0))
+
+    def _sampled(self, tag: str, values: list[float]) -> None:
+        number = int(tag) if tag.isdecimal() else 0
+        if number <= self.answered:
+            return
+        if self.mark is not None and number >= self.mark:
+            self._relaunch(self.mark)
+            self.mark = None
+        self.answered = number
+        if self.ringing and number == self.samples:
+            self._ring(dict(zip(self.gauges, values, strict=False)))
+
+    def _relaunch(self, mark: int) -> None:
+        """All notices missed were read: what was launched before the mark, ended in none of them and was not
+        known to have arrived is launched again. One that is known to have arrived is left: it runs, and a
+        second launch that crosses its end would run it twice."""
+        for task, run in list(self.runs.items()):
+            if self.answered <= run.samples < mark:
+                self._send(task, run)
+                if run.frozen:
+                    self.effects.append(("freeze", task))
+
+    def _send(self, task: str, run: Run) -> None:
+        run.sent, run.samples = True, self.samples
+        self.effects.append(("launch", task, self.bench.stages[run.stage].name, run.body))
+
+    def _exercised(self, tag: str, good: bool) -> None:
+        asked = self.exercises.pop(tag, None)
+        if asked is not None and asked[0] in self.connections:
+            self._tell_health(*asked, good)
+
+    def _refusal(self, command: str, task: str) -> None:
+        self._log("refusal", command=command, id=task)
+        if command == "launch":
+            self._run_over(task, "moot", 0, b"")
+        elif command == "exercise":
+            self._exercised(task, True)  # such checks are not made here: the state alone tells
+
+    def _remark(self, number: int) -> None:
+        self._seen(number)
+
+    def _unknown(self, text: str) -> None:
+        self._log("unknown notice", text=text)
+
+    # ---- the module's decisions
+
+    def start(self, task: str) -> None:
+        held = self.tries.get(task)
+        if held is None:
+            self.came_in.append(("over", task, "moot", 0))
+            return
+        run = self.runs[task] = Run(held, self.samples)
+        if held.key is not None and self.bench.stages[held.stage].effect == "fingerprinted":
+            window = held.since + self.bench.stages[held.stage].window
+            entry = self.entries.by_key.get(held.key) or self.entries.put(held.key, task, window)
+            entry.ran, entry.how = task, None
+        if self.linked:
+            self._send(task, run)
+
+    def stop(self, task: str) -> None:
+        run = self.runs.get(task)
+        if run is None:
+            return
+        run.frozen = True
+        if not run.sent:
+            del self.runs[task]
+            self.came_in.append(("over", task, "stopped", 0))
+        elif self.linked:
+            self.effects.append(("freeze", task))
+
+    def reject(self, task: str, nowhere_else: bool, stay_away: int) -> None:
+        held = self._answered(task)
+        if held is not None:
+            self._count("rejected")
+            self.effects.append(("rejected", held.connection, held.seq, nowhere_else, stay_away, self.level))
+
+    def abandon(self, task: str) -> None:
+        held = self._answered(task)
+        if held is not None:
+            self._count("abandoned")
+            self.effects.append(("abandoned", held.connection, held.seq, self.level))
+
+    def answer_from_repeat(self, task: str) -> None:
+        held = self.tries.get(task)
+        if held is None or held.key is None:
+            return
+        entry = self.entries.by_key.get(held.key)
+        source = entry.ran if entry is not None else None
+        if source is not None and source in self.runs:
+            self.runs[source].waiting.append(task)
+        else:
+            self._count("repeats")
+            self._repeat_over(task, entry.result if entry is not None else None)
+
+    def remember(self, task: str, span: int) -> None:
+        held = self.tries.get(task)
+        if held is not None and held.key is not None:
+            entry = self.entries.put(held.key, task, self.now + span)
+            if task in self.runs:
+                entry.ran, entry.how = task, None
+
+    def forget(self, task: str) -> None:
+        self.entries.forget(task)
+
+    def call(self, task: str, patience: int) -> None:
+        raise NotImplementedError("the agent asks for no calls")
+
+    def skip_call(self, task: str) -> None:
+        raise NotImplementedError("the agent asks for no calls")
+
+    def health(self, good: bool, from_store: bool) -> None:
+        self.good, self.from_store = good, from_store
+
+    def say(self, value: float) -> None:
+        self.level = value
+
+    def close_idle(self, span: int) -> None:
+        self.idle_span = span
+
+    def alarm(self, name: str, span: int) -> None:
+        self.alarms.put(self.now + span, name)
+
+    def note(self, text: str) -> None:
+        self._log("note", text=text)
--- /dev/null
+++ b/thistleline/memory/tables.py
@@ -0,0 +1,123 @@
+"""The tables of what is in hand. Only the reducer changes them."""
+
+from collections import OrderedDict
+from heapq import heappop, heappush
+
+Key = tuple[int, str]  # stage, and the mark or subject by which repeats are known
+RESULTS_BOUND = 24 * 1024 * 1024  # bytes of kept results; past it the oldest go
+
+
+class Connection:
+    __slots__ = ("carried", "farewell", "open", "stalled")
+
+    def __init__(self, now: int) -> None:
+        self.open: dict[str, None] = {}  # tries that are owed an answer here
+        self.carried = now  # when it last carried anything
+        self.farewell: int | None = None  # when it was told that nothing new is wanted
+        self.stalled = False  # not read until something on it was answered
+
+
+class Try:
+    """A task that is owed an answer."""
+
+    __slots__ = ("body", "connection", "key", "repeats", "seq", "since", "stage", "told")
+
+    def __init__(
+        self, connection: int, seq: int, stage: int, since: int, key: Key | None, body: bytes
+    ) -> None:
+        self.connection, self.seq, self.stage, self.since = connection, seq, stage, since
+        self.key, self.body = key, body
+        self.repeats: str | None = None
+        self.told = False  # whether the module knows of it
+
+
+class Run:
+    """A run at the agent, whether or not its task is still owed an answer."""
+
+    __slots__ = ("body", "frozen", "key", "samples", "sent", "stage", "waiting")
+
+    def __init__(self, held: Try, samples: int) -> None:
+        self.stage, self.body, self.key = held.stage, held.body, held.key
+        self.samples = samples  # how many were asked for before it was launched
+        self.sent = False
+        self.frozen = False
+        self.waiting: list[str] = []  # repeats that get its answer
+
+
+class Entry:
+    """What is remembered for one key: who has it until when, which try ran, and how that ended."""
+
+    __slots__ = ("ended", "how", "ran", "result", "task", "until")
+
+    def __init__(self, task: str, until: int) -> None:
+        self.task, self.until = task, until
+        self.ran: str | None = None
+        self.how: str | None = None
+        self.ended = 0
+        self.result: bytes | None = None
+
+
+class Entries:
+    def __init__(self) -> None:
+        self.by_key: dict[Key, Entry] = {}
+        self.by_task: dict[str, Key] = {}
+        self.results: OrderedDict[Key, int] = OrderedDict()  # bytes by key, oldest first
+        self.size = 0
+
+    def put(self, key: Key, task: str, until: int) -> Entry:
+        entry = self.by_key.get(key)
+        if entry is None:
+            entry = self.by_key[key] = Entry(task, until)
+        else:
+            self.by_task.pop(entry.task, None)
+            entry.task, entry.until = task, until
+        self.by_task[task] = key
+        return entry
+
+    def forget(self, task: str) -> None:
+        key = self.by_task.pop(task, None)
+        if key is not None:
+            self._drop_result(key)
+            del self.by_key[key]
+
+    def keep(self, key: Key, how: str, now: int, result: bytes | None) -> None:
+        """How a run ended. Guards the memory: the oldest results give way, their keys stay."""
+        entry = self.by_key[key]
+        entry.how, entry.ended = how, now
+        self._drop_result(key)
+        if result is not None:
+            entry.result = result
+            self.results[key] = len(result)
+            self.size += len(result)
+            while self.size > RESULTS_BOUND:
+                self._drop_result(next(iter(self.results)))
+
+    def expire(self, before: int, runs: dict[str, Run]) -> None:
+        gone = [
+            entry.task for entry in self.by_key.values() if entry.until < before and entry.ran not in runs
+        ]
+        for task in gone:
+            self.forget(task)
+
+    def _drop_result(self, key: Key) -> None:
+        self.size -= self.results.pop(key, 0)
+        self.by_key[key].result = None
+
+
+class Alarms:
+    """Names by due clock time."""
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[int, str]] = []
+
+    def put(self, due: int, name: str) -> None:
+        heappush(self.heap, (due, name))
+
+    def due(self) -> int | None:
+        return self.heap[0][0] if self.heap else None
+
+    def take(self, now: int) -> list[str]:
+        names = []
+        while self.heap and self.heap[0][0] <= now:
+            names.append(heappop(self.heap)[1])
+        return names
--- /dev/null
+++ b/thistleline/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What is spoken: one file a protocol, parsing and formatting only."""
