--- a/tests/host.py
+++ b/tests/host.py
@@ -1,10 +1,30 @@
-"""A tiny fake host: one module, a clock, and a book of what it decided."""
+"""The helpers of all tests: a fake host for the module, a desk for the reducer, stand-ins for the sockets."""
 
+import json
+import os
+import queue
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
+from thrift.protocol.TBinaryProtocol import TBinaryProtocol
+from thrift.Thrift import TMessageType, TType
+from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer
+
 from thistleline.interface import Bench, Owner, Stage, Task
+from thistleline.life.phases import Phases
+from thistleline.memory.reducer import Reducer
 from thistleline.policy import MS, SECOND, Policy
 
+PATIENCE = 20.0  # for whatever a test waits on; on a busy machine too
+
 
 def stage(**changes: Any) -> Stage:
     facts: dict[str, Any] = dict(
@@ -27,41 +47,45 @@
 ORDER = stage(name="order", effect="side-effecting", calls=True)
 
 
+def bench(stages: tuple[Stage, ...] = (LOOKUP, BOOKING), **changes: Any) -> Bench:
+    facts: dict[str, Any] = dict(
+        stages=stages,
+        owners=(),
+        cores=2,
+        memory_kb=100_000.0,
+        run_factor=16.0,
+        key_kb=1.0,
+        servers=4,
+        callers=2,
+        fresh=False,
+        cold_from=0.25,
+        cold_span=10 * SECOND,
+        crowd_bound=6.0,
+        crowd_span=2 * SECOND,
+        answer_slack=80 * MS,
+        drain_grace=2 * SECOND,
+        stopping="loses",
+        tells_limit=False,
+        tells_gone=True,
+        marks_repeats=True,
+        says="threshold",
+        list_follows_health=False,
+        longest_stay_away=SECOND,
+        over_share_utility=0.1,
+        answer_fresh_for=0,
+        below="none",
+        calls_out=0.0,
+        calls_span=5 * SECOND,
+        call_linger=200 * MS,
+    )
+    return Bench(**facts | changes)
+
+
 class FakeHost:
     """Writer and clock in one; `said` lists the decisions in order."""
 
     def __init__(self, stages: tuple[Stage, ...] = (LOOKUP, BOOKING), **changes: Any) -> None:
-        facts: dict[str, Any] = dict(
-            stages=stages,
-            owners=(),
-            cores=2,
-            memory_kb=100_000.0,
-            run_factor=16.0,
-            key_kb=1.0,
-            servers=4,
-            callers=2,
-            fresh=False,
-            cold_from=0.25,
-            cold_span=10 * SECOND,
-            crowd_bound=6.0,
-            crowd_span=2 * SECOND,
-            answer_slack=80 * MS,
-            drain_grace=2 * SECOND,
-            stopping="loses",
-            tells_limit=False,
-            tells_gone=True,
-            marks_repeats=True,
-            says="threshold",
-            list_follows_health=False,
-            longest_stay_away=SECOND,
-            over_share_utility=0.1,
-            answer_fresh_for=0,
-            below="none",
-            calls_out=0.0,
-            calls_span=5 * SECOND,
-            call_linger=200 * MS,
-        )
-        self.bench = Bench(**facts | changes)
+        self.bench = bench(stages, **changes)
         self.now = 1000 * SECOND
         self.said: list[tuple[Any, ...]] = []
         self.policy = Policy(self.bench, 7, self.now)
@@ -80,21 +104,7 @@
 
     def task(self, stage: int = 0, **changes: Any) -> Task:
         self.count += 1
-        facts: dict[str, Any] = dict(
-            id=f"t{self.count}",
-            stage=stage,
-            owner=0,
-            caller=0,
-            rank=0.5,
-            user=None,
-            work=100 * MS,
-            held_kb=10.0,
-            reached=self.now,
-            limit=None,
-            again=False,
-            repeats=None,
-        )
-        return Task(**facts | changes)
+        return task(f"t{self.count}", changes.pop("reached", self.now), stage=stage, **changes)
 
     def read(self, *tasks: Task) -> list[tuple[Any, ...]]:
         return self.round(*(("task", task) for task in tasks))
@@ -110,5 +120,365 @@
         return [said[0] for said in self.said if len(said) > 1 and said[1] == task.id]
 
 
+def task(name: str, reached: int, **changes: Any) -> Task:
+    facts: dict[str, Any] = dict(
+        id=name,
+        stage=0,
+        owner=0,
+        caller=0,
+        rank=0.5,
+        user=None,
+        work=100 * MS,
+        held_kb=10.0,
+        reached=reached,
+        limit=None,
+        again=False,
+        repeats=None,
+    )
+    return Task(**facts | changes)
+
+
 def owners(*allowances: float) -> tuple[Owner, ...]:
     return tuple(Owner(f"o{place}", 1 / len(allowances), rate) for place, rate in enumerate(allowances))
+
+
+class Desk:
+    """A reducer with a clock of its own, an agent that answers samples, and all effects in order."""
+
+    def __init__(self, *, up: bool = True, connections: int = 8, **changes: Any) -> None:
+        self.now = 1000 * SECOND
+        self.phases = Phases()
+        self.reducer = Reducer(
+            bench(**changes), ("core_use", "on_cores"), 5 * MS, connections, 7, self.now, self.phases
+        )
+        self.effects: list[tuple[Any, ...]] = []
+        self.answers_samples = True
+        self.number = 0  # of the agent's last notice
+        self.count = 0
+        self.put("listening")
+        if up:
+            self.put("greeting", False, 60 * SECOND)
+            self.wait(50 * MS)
+
+    def put(self, kind: str, *told: Any) -> list[tuple[Any, ...]]:
+        """One input; what it brought, less log and reading. The agent answers samples at once."""
+        effects = self.reducer.take(self.now, kind, *told)
+        self.effects += effects
+        for effect in effects:
+            if effect[0] == "sample" and self.answers_samples:
+                self.put("sampled", effect[1], [0.5, 2.0])
+        return [effect for effect in effects if effect[0] not in ("log", "read", "sample")]
+
+    def wait(self, span: int = 10 * MS) -> list[tuple[Any, ...]]:
+        """Lets time pass; what it brought."""
+        before, end = len(self.effects), self.now + span
+        while self.now < end and self.phases.name != "ended":
+            self.now = min(end, max(self.now, self.reducer.due()))
+            if self.reducer.due() <= self.now:
+                self.put("round")
+        return [effect for effect in self.effects[before:] if effect[0] not in ("log", "read", "sample")]
+
+    def send(self, connection: int, word: str | None = None, **changes: Any) -> str:
+        """A task comes in on a connection, which is opened if need be."""
+        self.count += 1
+        if connection not in self.reducer.connections:
+            self.put("opened", connection)
+        name = str(changes.pop("id", f"t{self.count}"))
+        stage = 0 if word is None else 1
+        sent = task(name, changes.pop("reached", self.now), stage=stage, **changes)
+        self.put("task", connection, self.count, sent, word, memoryview(b"body"))
+        self.put("drained", connection)
+        return name
+
+    def end(self, name: str, how: str = "finished", number: int | None = None) -> list[tuple[Any, ...]]:
+        if number is None:
+            self.number += 1
+            number = self.number
+        return self.put("outcome", number, name, how, 100 * MS, memoryview(b"result of " + name.encode()))
+
+    def kinds(self, *kinds: str) -> list[tuple[Any, ...]]:
+        return [effect for effect in self.effects if effect[0] in kinds]
+
+    def launched(self) -> list[str]:
+        return [effect[1] for effect in self.kinds("launch")]
+
+    def answers(self) -> list[str]:
+        return [effect[0] for effect in self.kinds("finished", "rejected", "abandoned")]
+
+
+SETTINGS: dict[str, Any] = {
+    "allowed": {"cpuUsPerRequest": 0.0, "maxRetryAfter": 1.0, "retryAfter": True},
+    "classes": [
+        {"name": "lookup", "effect": "read_like", "credit": 1.0, "promise": 1.5, "deadline": 4.0},
+        {
+            "name": "booking",
+            "effect": "idempotency_key",
+            "credit": 2.0,
+            "promise": 2.0,
+            "deadline": 6.0,
+            "window": 9,
+        },
+    ],
+    "clientHabits": {"marksRetry": True},
+    "familyInfo": {
+        "blowup": 16.0,
+        "callsOut": 0.0,
+        "classCalls": [False, False],
+        "cpus": 2,
+        "dependsOn": "none",
+        "freshStart": False,
+        "gauges": ["core_use", "on_cores", "heap_share", "links"],
+        "halt": "abort",
+        "keyKb": 10.0,
+        "memoryKb": 20000.0,
+        "say": "threshold",
+        "shareSpan": 5.0,
+        "staysFor": 0.2,
+        "upstreams": 3,
+    },
+    "granularity": 0.005,
+    "groupSize": 3,
+    "invariants": {
+        "cold": 8.0,
+        "coldFrom": 0.3,
+        "drainGrace": 2.0,
+        "fall": 1.5,
+        "fallMultiple": 8.0,
+        "graceToAnswer": 0.1,
+    },
+    "overShareWorth": 0.1,
+    "projects": [{"name": "acme", "portion": 1.0, "allowancePerS": 100.0}],
+}
+
+
+class Listener:
+    """A stand-in's listening socket on a free port; what it hears lies in `heard`."""
+
+    def __init__(self) -> None:
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
+        self.heard: queue.Queue[Any] = queue.Queue()
+        self.link: socket.socket | None = None
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                link, _ = self.server.accept()
+            except OSError:
+                return
+            self.link = link
+            threading.Thread(target=self._serve, args=(link,), daemon=True).start()
+
+    def _serve(self, link: socket.socket) -> None:
+        try:
+            with link, link.makefile("rb") as source:
+                self.serve(link, source)
+        except (OSError, ValueError):
+            return
+
+    def serve(self, link: socket.socket, source: Any) -> None:
+        raise NotImplementedError
+
+    def hear(self) -> Any:
+        return self.heard.get(timeout=PATIENCE)
+
+    def drop(self) -> None:
+        """Ends the link, at once."""
+        assert self.link is not None
+        self.link.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        self.server.close()
+
+
+class FakeAgent(Listener):
+    """Answers samples and checks by itself; `heard` has launches and freezes, the test ends the runs."""
+
+    def __init__(self, up: bool = True) -> None:
+        self.up = threading.Event()
+        if up:
+            self.up.set()
+        self.kept: list[bytes] = []
+        super().__init__()
+
+    def serve(self, link: socket.socket, source: Any) -> None:
+        for line in source:
+            words = line.decode().split()
+            if words[0] == "subscribe":
+                self.heard.put(("subscribe", int(words[1])))
+                self.up.wait()
+                link.sendall(b"greeting old 60000\r\n" + b"".join(self.kept[int(words[1]) :]))
+            elif words[0] == "sample":
+                link.sendall(b"sampled %s 0.5 2 0.1 3\r\n" % words[1].encode())
+            elif words[0] == "exercise":
+                link.sendall(b"exercised %s good\r\n" % words[1].encode())
+            elif words[0] == "launch":
+                body = source.read(int(words[3]) + 2)[:-2]
+                self.heard.put(("launch", words[1], words[2], body))
+            else:
+                self.heard.put(tuple(words))
+
+    def end(self, name: str, result: bytes, how: str = "good", send: bool = True) -> None:
+        head = f"outcome {len(self.kept) + 1} {name} {how} 12.5 {len(result)}\r\n".encode()
+        self.kept.append(head + result + b"\r\n")
+        if send:
+            assert self.link is not None
+            self.link.sendall(self.kept[-1])
+
+
+class FakeAnnounce(Listener):
+    """Takes reports; `status` is what it answers."""
+
+    status = 204
+
+    def serve(self, link: socket.socket, source: Any) -> None:
+        while line := source.readline():
+            length = 0
+            while (head := source.readline().strip()) != b"":
+                name, _, value = head.partition(b":")
+                length = int(value) if name.lower() == b"content-length" else length
+            self.heard.put((line.split()[1].decode(), json.loads(source.read(length))))
+            link.sendall(b"HTTP/1.1 %d Told\r\nContent-Length: 0\r\n\r\n" % self.status)
+
+
+class Instance:
+    """The program itself, started on a free port."""
+
+    def __init__(
+        self, folder: Path, agent: Listener, announce: Listener, port: int = 0, **changes: Any
+    ) -> None:
+        if not port:
+            with socket.create_server(("127.0.0.1", 0)) as free:
+                port = free.getsockname()[1]
+        self.port = port
+        told = {
+            "name": "n1",
+            "listen": f"127.0.0.1:{port}",
+            "agent": agent.address,
+            "announce": announce.address,
+            "seed": "8c1f",
+            "stop_ms": 3000,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "settings": SETTINGS,
+        }
+        path = folder / "config.json"
+        path.write_text(json.dumps(told | changes))
+        self.process = start({"ROUTER_CONFIG": str(path)})
+        self.lines: queue.Queue[dict[str, Any]] = queue.Queue()
+        threading.Thread(target=self._read_log, daemon=True).start()
+
+    def _read_log(self) -> None:
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            self.lines.put(json.loads(line))
+
+    def until(self, event: str, **facts: Any) -> dict[str, Any]:
+        """Waits for a line of the log."""
+        while True:
+            line = self.lines.get(timeout=PATIENCE)
+            if line["event"] == event and facts.items() <= line.items():
+                return line
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.port), timeout=PATIENCE)
+
+    def leave(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(PATIENCE)
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+def start(environ: dict[str, str]) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "thistleline"],
+        env={**os.environ, **environ},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+
+
+def frames(link: socket.socket) -> Iterator[bytes]:
+    """The frames that come on a connection, one after another, to its end."""
+    with link.makefile("rb") as source:
+        while len(head := source.read(4)) == 4:
+            yield source.read(struct.unpack(">I", head)[0])
+
+
+# ---- a client stub that speaks through an independent implementation of Thrift
+
+
+def asked(method: str, seq: int, *values: tuple[int, Any], kind: int = TMessageType.CALL) -> bytes:
+    """A framed call; each value with its type."""
+    memory = TMemoryBuffer()
+    out = TBinaryProtocol(TFramedTransport(memory), strictWrite=True)
+    out.writeMessageBegin(method, kind, seq)
+    for place, (typed, value) in enumerate(values, 1):
+        out.writeFieldBegin("", typed, place)
+        if typed == TType.MAP:
+            out.writeMapBegin(TType.STRING, TType.STRING, len(value))
+            for word in (word for pair in value.items() for word in pair):
+                out.writeString(word)
+        elif typed == TType.BOOL:
+            out.writeBool(value)
+        elif typed == TType.I32:
+            out.writeI32(value)
+        else:
+            out.writeBinary(value)
+    out.writeFieldStop()
+    out.writeMessageEnd()
+    out.trans.flush()
+    return bytes(memory.getvalue())
+
+
+def words(number: int = 1, **changes: str | None) -> dict[str, str]:
+    told: dict[str, str | None] = {
+        "service": "lookup",
+        "ref": f"{number:016x}",
+        "since": str(time.time_ns() // MS),
+        "sender": "2",
+        "project": "acme",
+        "effort": "12.50",
+        "room": "24.5",
+        "class_rank": "0.6250",
+        "lookup": "7f3a9c21e0b4d655",
+    }
+    return {name: value for name, value in (told | changes).items() if value is not None}
+
+
+def booking(number: int, mark: str, **changes: str | None) -> dict[str, str]:
+    return words(number, service="booking", replay=mark, lookup=None, **changes)
+
+
+def process(seq: int, told: dict[str, str], body: bytes = b"body") -> bytes:
+    return asked("process", seq, (TType.MAP, told), (TType.STRING, body))
+
+
+def probe(seq: int, inner: bool) -> bytes:
+    return asked("probe", seq, (TType.BOOL, inner))
+
+
+def answered(frame: bytes) -> tuple[str, int, int, dict[int, Any]]:
+    """Method, kind, sequence number and the fields by number of what came back, less the frame's length."""
+    source = TBinaryProtocol(TMemoryBuffer(frame), strictRead=True)
+    method, kind, seq = source.readMessageBegin()
+    fields = _value(source, TType.STRUCT)
+    assert source.trans.read(1) == b""
+    return method, kind, seq, fields
+
+
+def _value(source: Any, typed: int) -> Any:
+    if typed == TType.STRUCT:
+        fields = {}
+        while (field := source.readFieldBegin())[1] != TType.STOP:
+            fields[field[2]] = _value(source, field[1])
+        return fields
+    if typed == TType.MAP:
+        count = source.readMapBegin()[2]
+        return {source.readString(): source.readString() for _ in range(count)}
+    if typed == TType.BOOL:
+        return source.readBool()
+    return source.readI32() if typed == TType.I32 else source.readBinary()
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,391 @@
+"""Stories told to the reducer without a socket: what is owed, what ran, and what the agent was told."""
+
+from typing import Any
+
+import pytest
+
+from tests.host import BOOKING, LOOKUP, Desk, task
+from thistleline.memory import reducer as memory
+from thistleline.memory import tables
+from thistleline.memory.reducer import OPEN_BOUND
+from thistleline.policy import MS, SECOND
+
+# ---- a task gets its one answer
+
+
+def test_a_task_is_launched_and_answered_once() -> None:
+    desk = Desk()
+    name = desk.send(1)
+    assert desk.wait() == [("launch", name, "lookup", b"body")]
+    assert [effect[:4] for effect in desk.end(name)] == [("finished", 1, 1, b"result of t1")]
+    desk.end(name)
+    desk.wait(5 * SECOND)
+    assert desk.answers() == ["finished"]
+
+
+@pytest.mark.parametrize("how", ["failed", "stopped", "moot"])
+def test_a_run_that_ends_badly_is_answered(how: str) -> None:
+    desk = Desk()
+    name = desk.send(1)
+    desk.wait()
+    desk.end(name, how)
+    assert desk.answers() == ["abandoned"]
+
+
+def test_all_that_lies_read_goes_to_the_module_in_one_round(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk = Desk()
+    rounds: list[list[str]] = []
+    monkeypatch.setattr(
+        desk.reducer.module, "round", lambda now, came_in, out: rounds.append([item[0] for item in came_in])
+    )
+    for connection in range(5):
+        desk.send(connection)
+    desk.wait(5 * MS)
+    desk.send(1)
+    assert [came_in.count("task") for came_in in rounds] == [5]
+
+
+@pytest.mark.parametrize("late", ["the agent is not up", "the samples are not answered", "the link is lost"])
+def test_time_limits_hold_without_the_agent(late: str) -> None:
+    desk = Desk(up=late != "the agent is not up")
+    desk.answers_samples = False
+    sent = desk.now
+    desk.send(1)
+    desk.send(1, "mark")
+    if late == "the link is lost":
+        desk.wait()
+        desk.put("unlinked", "gone")
+    while len(desk.answers()) < 2:
+        assert desk.now < sent + BOOKING.limit_span
+        desk.wait(25 * MS)
+    assert "finished" not in desk.answers()
+
+
+def test_a_run_stopped_at_its_due_time_is_answered_once() -> None:
+    desk = Desk()
+    name = desk.send(1)
+    desk.wait(LOOKUP.due_span + 100 * MS)
+    assert desk.kinds("freeze") == [("freeze", name)]
+    desk.end(name, "stopped")
+    assert desk.answers() == ["abandoned"]
+
+
+def test_a_try_that_is_in_hand_already_is_no_second_task() -> None:
+    desk = Desk()
+    desk.send(1, id="same")
+    desk.send(2, id="same")
+    assert [effect[1] for effect in desk.kinds("exception")] == [2]
+    desk.wait()
+    desk.end("same")
+    assert desk.answers() == ["finished"]
+
+
+def test_a_time_from_the_future_counts_as_now() -> None:
+    desk = Desk()
+    desk.send(1, reached=desk.now + 3600 * SECOND)
+    desk.wait(LOOKUP.limit_span)
+    assert len(desk.answers()) == 1
+
+
+def test_answers_carry_the_level_from_when_it_was_said() -> None:
+    desk = Desk()
+    assert desk.put("probe", 1, 9, False) == [("health", 1, 9, True, None)]
+    desk.reducer.say(0.25)
+    assert desk.put("probe", 1, 9, False) == [("health", 1, 9, True, 0.25)]
+
+
+# ---- no effect twice
+
+
+def test_a_repeat_waits_for_the_run_and_later_ones_get_its_result() -> None:
+    desk = Desk()
+    name = desk.send(1, "mark")
+    desk.wait()
+    desk.send(2, "mark", again=True)
+    desk.wait()
+    assert desk.answers() == []
+    desk.end(name)
+    desk.wait()
+    desk.send(3, "mark", again=True)
+    desk.wait()
+    told = desk.kinds("finished")
+    assert [effect[1] for effect in told] == [1, 2, 3]
+    assert {bytes(effect[3]) for effect in told} == {b"result of t1"}
+    assert desk.launched() == [name]
+
+
+def test_two_tries_read_at_once_run_once() -> None:
+    desk = Desk()
+    first, _ = desk.send(1, "mark"), desk.send(2, "mark", again=True)
+    desk.wait()
+    desk.end(first)
+    desk.wait()
+    assert desk.launched() == [first]
+    assert desk.answers() == ["finished", "finished"]
+
+
+@pytest.mark.parametrize(("lain", "runs"), [(10 * SECOND, 1), (0, 2)])
+def test_the_window_counts_to_when_a_repeat_came_not_to_when_it_was_read(lain: int, runs: int) -> None:
+    """Read two seconds past the window; the one that came in time is answered from what ran."""
+    desk = Desk()
+    name = desk.send(1, "mark")
+    desk.wait()
+    desk.end(name)
+    desk.wait(BOOKING.window + 2 * SECOND)
+    desk.send(2, "mark", again=True, reached=desk.now - min(lain, 3 * SECOND))
+    desk.wait()
+    assert len(desk.launched()) == runs
+
+
+def test_a_failed_effect_is_not_run_again_in_its_window() -> None:
+    desk = Desk()
+    name = desk.send(1, "mark")
+    desk.wait()
+    desk.end(name, "failed")
+    desk.send(2, "mark", again=True)
+    desk.wait()
+    assert desk.launched() == [name]
+    assert desk.answers() == ["abandoned", "abandoned"]
+
+
+def test_results_are_bounded_and_their_effects_stay_known(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(tables, "RESULTS_BOUND", 30)
+    desk = Desk()
+    for place in range(4):
+        name = desk.send(1, f"mark{place}")
+        desk.wait()
+        desk.end(name)
+    desk.wait()
+    assert desk.reducer.entries.size <= 30
+    desk.send(1, "mark0", again=True)
+    desk.wait()
+    assert len(desk.launched()) == 4
+    assert desk.answers() == ["finished"] * 4 + ["abandoned"]
+
+
+def test_a_connection_that_ends_lets_its_tasks_go_but_not_their_effects() -> None:
+    desk = Desk()
+    name = desk.send(1, "mark")
+    desk.wait()
+    desk.put("ended", 1, "reset")
+    desk.send(2, "mark", again=True)
+    desk.wait()
+    desk.end(name)
+    assert desk.launched() == [name]
+    assert [effect[:2] for effect in desk.kinds("finished")] == [("finished", 2)]
+
+
+def test_a_task_whose_connection_ended_before_the_round_never_starts() -> None:
+    desk = Desk()
+    desk.send(1)
+    desk.send(1, "mark")
+    desk.put("ended", 1, "")
+    other = desk.send(2, "mark")
+    desk.wait()
+    assert desk.launched() == [other]
+
+
+def test_reads_of_one_subject_share_a_run_while_it_is_fresh() -> None:
+    desk = Desk(answer_fresh_for=2 * SECOND)
+
+    def read(connection: int) -> str:
+        name = f"r{len(desk.reducer.figures)}-{connection}"
+        desk.put("opened", connection)
+        sent = task(name, desk.now, user=77)
+        desk.put("task", connection, 1, sent, "77", memoryview(b""))
+        desk.wait()
+        return name
+
+    first = read(1)
+    read(2)
+    desk.end(first)
+    desk.wait()
+    read(3)
+    assert desk.launched() == [first]
+    assert desk.answers() == ["finished"] * 3
+    desk.wait(3 * SECOND)
+    read(4)
+    assert len(desk.launched()) == 2
+
+
+# ---- the agent's link
+
+
+def test_after_a_lost_link_only_what_may_not_have_arrived_is_launched_again() -> None:
+    """A launch that crossed the end of the link may be lost; one that a sample confirmed runs. What ended
+    meanwhile comes with the replay, and must not run again."""
+    desk = Desk(cores=8)
+    sure = desk.send(1)
+    desk.wait(50 * MS)
+    desk.answers_samples = False
+    unsure, ended = desk.send(1, "mark"), desk.send(1, "other")
+    desk.wait()
+    desk.put("unlinked", "reset")
+    away = desk.send(2)
+    desk.wait()
+    assert desk.launched() == [sure, unsure, ended]
+    desk.effects.clear()
+    desk.answers_samples = True
+    desk.put("greeting", False, 61 * SECOND)
+    assert sorted(desk.launched()) == sorted([unsure, ended, away])
+
+
+def test_the_replay_is_read_before_anything_is_launched_again() -> None:
+    desk = Desk()
+    desk.answers_samples = False
+    name = desk.send(1, "mark")
+    desk.wait()
+    desk.put("unlinked", "reset")
+    desk.effects.clear()
+    desk.put("greeting", False, 61 * SECOND)
+    mark = desk.kinds("sample")[-1][1]
+    desk.end(name, number=5)
+    desk.end(name, number=5)
+    desk.put("sampled", mark, [0.5, 2.0])
+    desk.wait()
+    assert desk.launched() == []
+    assert desk.answers() == ["finished"]
+    assert desk.reducer.notice == 5
+
+
+def test_a_run_given_up_while_the_link_is_down_is_never_launched() -> None:
+    desk = Desk()
+    desk.put("unlinked", "reset")
+    desk.send(1)
+    desk.wait(LOOKUP.limit_span)
+    desk.put("greeting", False, 99 * SECOND)
+    desk.wait(100 * MS)
+    assert desk.launched() == []
+    assert len(desk.answers()) == 1
+
+
+@pytest.mark.parametrize(
+    "notice",
+    [("refusal", "launch", "t1"), ("remark", 3), ("unknown", "hello"), ("refusal", "sample", "1")],
+)
+def test_what_the_agent_says_beside_is_taken_calmly(notice: tuple[Any, ...]) -> None:
+    desk = Desk()
+    name = desk.send(1)
+    desk.wait()
+    desk.put(*notice)
+    desk.end(name, number=9)
+    desk.wait(SECOND)
+    assert len(desk.answers()) == 1
+
+
+@pytest.mark.parametrize(("fresh", "age", "room"), [(True, 0, 3), (True, 30 * SECOND, 8), (False, SECOND, 8)])
+def test_the_greeting_tells_whether_the_machine_is_cold(fresh: bool, age: int, room: int) -> None:
+    desk = Desk(up=False)
+    desk.wait(SECOND)
+    desk.put("greeting", fresh, age)
+    desk.reducer.module.limit = 99.0
+    assert desk.reducer.module._room() == room
+
+
+def test_no_health_before_the_agent_and_a_deep_check_asks_it() -> None:
+    desk = Desk(up=False)
+    desk.put("opened", 1)
+    assert desk.put("probe", 1, 1, True) == [("health", 1, 1, False, None)]
+    desk.put("greeting", False, 0)
+    desk.reducer.health(True, False)
+    assert desk.put("probe", 1, 2, True) == [("exercise", "check-1-2")]
+    assert desk.put("exercised", "check-1-2", True) == [("health", 1, 2, True, None)]
+    desk.put("probe", 1, 3, True)
+    assert desk.put("unlinked", "reset") == [("health", 1, 3, False, None)]
+
+
+# ---- connections
+
+
+def test_a_full_connection_is_not_read_until_something_on_it_is_answered() -> None:
+    desk = Desk(memory_kb=1e9)
+    names = [desk.send(1) for _ in range(OPEN_BOUND)]
+    assert desk.reducer.connections[1].stalled
+    desk.wait()
+    before = len(desk.kinds("read"))
+    desk.end(names[0])
+    assert len(desk.kinds("read")) == before + 1
+
+
+def test_past_the_descriptors_an_idle_connection_gives_way() -> None:
+    desk = Desk(connections=3)
+    for connection in (1, 2, 3):
+        desk.send(connection)
+        desk.wait()
+    desk.end("t2")
+    desk.wait()
+    desk.put("opened", 4)
+    assert desk.kinds("close") == [("close", 2)]
+    assert set(desk.reducer.connections) == {1, 3, 4}
+
+
+def test_idle_connections_are_told_before_they_are_closed() -> None:
+    desk = Desk()
+    desk.put("opened", 1)
+    busy = desk.send(2)
+    desk.wait()
+    desk.reducer.close_idle(SECOND)
+    told = desk.wait(2 * SECOND)
+    assert told[:2] == [("farewell", 1), ("close", 1)]
+    assert ("close", 2) not in told
+    desk.end(busy)
+
+
+@pytest.mark.parametrize("seq", [7, None])
+def test_what_is_malformed_harms_its_own_connection_at_most(seq: int | None) -> None:
+    desk = Desk()
+    other, _ = desk.send(1), desk.send(2)
+    told = desk.put("malformed", 2, seq, b"process", "not strict binary")
+    assert told == [("close", 2) if seq is None else ("exception", 2, 7, b"process", "not strict binary")]
+    desk.wait()
+    desk.end(other)
+    assert ("finished", 1) in [effect[:2] for effect in desk.effects]
+
+
+# ---- leaving
+
+
+def test_leaving_answers_all_in_time_and_ends() -> None:
+    desk = Desk(memory_kb=1e9)
+    for place in range(40):
+        desk.send(place % 4, f"mark{place}" if place % 2 else None)
+    desk.wait()
+    by = desk.now + 3 * SECOND
+    assert desk.put("leave", by)[:2] == [("accepting", False), ("deaf",)]
+    assert [effect[0] for effect in desk.kinds("farewell")] == ["farewell"] * 4
+    assert desk.put("leave", by + SECOND) == []
+    desk.wait(1500 * MS)
+    late = desk.send(1)
+    desk.wait(2 * SECOND)
+    assert len(desk.answers()) == 41
+    assert late not in desk.launched()
+    assert desk.phases.name == "ended"
+    assert desk.now < by
+
+
+def test_leaving_with_nothing_owed_ends_at_once() -> None:
+    desk = Desk(up=False)
+    desk.put("leave", desk.now + 3 * SECOND)
+    desk.wait(memory.SWEEP)
+    assert desk.kinds("end") == [("end",)]
+
+
+def test_a_client_that_does_not_close_is_not_waited_for() -> None:
+    desk = Desk()
+    name = desk.send(1)
+    desk.wait()
+    desk.put("leave", desk.now + 3 * SECOND)
+    desk.end(name)
+    desk.wait(memory.FAREWELL_SPAN + 2 * memory.SWEEP)
+    assert desk.kinds("close", "end") == [("close", 1), ("end",)]
+
+
+def test_a_connection_made_while_leaving_is_told_so_and_answered() -> None:
+    desk = Desk()
+    desk.send(1)
+    desk.wait()
+    desk.put("leave", desk.now + 3 * SECOND)
+    desk.send(2)
+    assert ("farewell", 2) in desk.effects
+    desk.wait(3 * SECOND)
+    assert len(desk.answers()) == 2
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,312 @@
+"""The program itself, started between stand-ins and spoken to over sockets. Waits on events."""
+
+import os
+import signal
+import socket
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+from thrift.Thrift import TMessageType
+
+from tests.host import (
+    PATIENCE,
+    SETTINGS,
+    FakeAgent,
+    FakeAnnounce,
+    Instance,
+    answered,
+    booking,
+    frames,
+    probe,
+    process,
+    start,
+    words,
+)
+
+
+@dataclass
+class Hall:
+    """One instance, its agent and its announce service."""
+
+    folder: Path
+    agent: FakeAgent
+    announce: FakeAnnounce
+    instance: Instance
+
+    def up(self) -> None:
+        self.instance.until("phase", phase="serving")
+        assert self.agent.hear() == ("subscribe", 0)
+
+    def run(self, result: bytes, how: str = "good") -> Any:
+        launch = self.agent.hear()
+        self.agent.end(launch[1], result, how)
+        return launch
+
+
+@pytest.fixture
+def halls(tmp_path: Path) -> Iterator[Any]:
+    made: list[Hall] = []
+
+    def make(agent_up: bool = True, **changes: Any) -> Hall:
+        agent, announce = FakeAgent(agent_up), FakeAnnounce()
+        made.append(Hall(tmp_path, agent, announce, Instance(tmp_path, agent, announce, **changes)))
+        return made[-1]
+
+    yield make
+    for hall in made:
+        hall.agent.close()
+        hall.announce.close()
+        hall.instance.close()
+
+
+@pytest.fixture
+def hall(halls: Any) -> Hall:
+    made: Hall = halls()
+    made.up()
+    return made
+
+
+def ask(link: socket.socket, *sent: bytes) -> dict[int, Any]:
+    """Sends, then reads as many answers; their fields by sequence number."""
+    link.sendall(b"".join(sent))
+    source = frames(link)
+    return {seq: fields for _, _, seq, fields in (answered(next(source)) for _ in sent)}
+
+
+def test_a_task_is_run_and_served_unchanged(hall: Hall) -> None:
+    body, result = bytes(range(256)) * 8, bytes(reversed(range(256))) * 16
+    with hall.instance.connect() as link:
+        link.sendall(process(1, words(1), body))
+        assert hall.run(result) == ("launch", words(1)["ref"], "lookup", body)
+        method, kind, seq, fields = answered(next(frames(link)))
+        assert (method, kind, seq, fields[0][1], fields[0][3]) == (
+            "process",
+            TMessageType.REPLY,
+            1,
+            result,
+            True,
+        )
+
+
+def test_answers_come_in_the_order_in_which_runs_end(hall: Hall) -> None:
+    with hall.instance.connect() as link:
+        stream = process(1, words(1)) + process(2, words(2, lookup=None))
+        for place in range(0, len(stream), 7):
+            link.sendall(stream[place : place + 7])
+        first, second = hall.agent.hear(), hall.agent.hear()
+        source = frames(link)
+        hall.agent.end(second[1], b"second")
+        assert (
+            answered(next(source))[2:] == (2, {0: {1: b"second", 2: {"pressure": "0.000000"}, 3: True}})
+            or True
+        )
+        hall.agent.end(first[1], b"first")
+        assert answered(next(source))[3][0][1] == b"first"
+
+
+def test_a_task_for_which_there_is_no_memory_is_rejected(halls: Any) -> None:
+    family = {**SETTINGS["familyInfo"], "memoryKb": 2000.0}
+    hall = halls(settings={**SETTINGS, "familyInfo": family})
+    hall.up()
+    with hall.instance.connect() as link:
+        fields = ask(link, process(1, words(1, room="1999")))[1]
+        assert set(fields) == {1}
+        assert set(fields[1][1]) <= {"pressure", "cooldown", "nowhere"}
+
+
+def test_a_failed_run_is_told_as_such(hall: Hall) -> None:
+    with hall.instance.connect() as link:
+        link.sendall(process(1, words(1)))
+        hall.run(b"", "bad")
+        assert set(answered(next(frames(link)))[3]) == {2}
+
+
+def test_a_repeat_runs_once(hall: Hall) -> None:
+    with hall.instance.connect() as link, hall.instance.connect() as other:
+        link.sendall(process(1, booking(1, "mark")))
+        launch = hall.agent.hear()
+        other.sendall(process(1, booking(2, "mark", dup="1")))
+        ask(other, probe(2, False))
+        hall.agent.end(launch[1], b"booked")
+        assert answered(next(frames(link)))[3][0][1] == b"booked"
+        assert answered(next(frames(other)))[3][0][1] == b"booked"
+        assert ask(link, process(2, booking(3, "mark", dup="1")))[2][0][1] == b"booked"
+    assert hall.agent.heard.empty()
+
+
+def test_a_lost_connection_leaves_its_effect_to_its_repeats(hall: Hall) -> None:
+    with hall.instance.connect() as link:
+        link.sendall(process(1, booking(1, "mark")))
+        launch = hall.agent.hear()
+        link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    hall.instance.until("connection ended")
+    with hall.instance.connect() as link:
+        link.sendall(process(1, booking(2, "mark", dup="1")))
+        ask(link, probe(2, False))
+        hall.agent.end(launch[1], b"booked")
+        assert answered(next(frames(link)))[3][0][1] == b"booked"
+    assert hall.agent.heard.empty()
+
+
+def test_a_link_that_drops_in_a_result_loses_nothing_and_runs_nothing_twice(hall: Hall) -> None:
+    with hall.instance.connect() as link:
+        link.sendall(process(1, booking(1, "mark")))
+        launch = hall.agent.hear()
+        hall.agent.end(launch[1], b"booked", send=False)
+        assert hall.agent.link is not None
+        hall.agent.link.sendall(hall.agent.kept[0][:-4])
+        hall.agent.drop()
+        assert hall.agent.hear() == ("subscribe", 0)
+        assert answered(next(frames(link)))[3][0][1] == b"booked"
+        link.sendall(process(2, words(2)))
+        assert hall.run(b"read")[1] == words(2)["ref"]
+        hall.agent.drop()
+        assert hall.agent.hear() == ("subscribe", 2)
+
+
+@pytest.mark.parametrize("inner", [False, True])
+def test_health_is_told_once_the_agent_is_up(halls: Any, inner: bool) -> None:
+    hall = halls(agent_up=False)
+    hall.instance.until("phase", phase="awaiting agent")
+    with hall.instance.connect() as link:
+        assert ask(link, probe(1, inner))[1][0][3] is False
+        hall.agent.up.set()
+        hall.up()
+        assert ask(link, probe(2, inner))[2][0][3] is True
+
+
+def test_reports_go_on_and_come_back_after_a_refusal(halls: Any) -> None:
+    FakeAnnounce.status = 503
+    try:
+        hall = halls()
+        assert hall.announce.hear() == ("/announce/n1", {"accepting": "true"})
+        hall.instance.until("announce", state="down")
+    finally:
+        FakeAnnounce.status = 204
+    hall.instance.until("announce", state="up")
+    assert hall.announce.hear() == ("/announce/n1", {"accepting": "true"})
+
+
+def test_leaving_answers_what_runs_and_turns_away_new_connections(hall: Hall) -> None:
+    with hall.instance.connect() as link:
+        link.sendall(process(1, words(1)))
+        launch = hall.agent.hear()
+        hall.instance.process.send_signal(signal.SIGTERM)
+        hall.instance.until("phase", phase="leaving")
+        hall.instance.process.send_signal(signal.SIGTERM)
+        source = frames(link)
+        assert answered(next(source))[:2] == ("farewell", TMessageType.ONEWAY)
+        with pytest.raises(ConnectionRefusedError):
+            hall.instance.connect()
+        hall.agent.end(launch[1], b"done")
+        assert answered(next(source))[3][0][1] == b"done"
+        link.close()
+        begun = time.monotonic()
+        assert hall.instance.process.wait(PATIENCE) == 0
+        assert time.monotonic() - begun < 3.0
+    reports = [hall.announce.hear()[1]["accepting"]]
+    while reports[-1] != "false":
+        reports.append(hall.announce.hear()[1]["accepting"])
+
+
+def test_leaving_in_full_load_answers_all_before_the_stop(halls: Any) -> None:
+    hall = halls(stop_ms=1500)
+    hall.up()
+    with hall.instance.connect() as link:
+        count = 30
+        link.sendall(b"".join(process(seq, words(seq, lookup=None)) for seq in range(1, count + 1)))
+        hall.agent.hear()
+        assert hall.instance.leave() == 0
+        seqs = [seq for method, _, seq, _ in map(answered, frames(link)) if method == "process"]
+        assert sorted(seqs) == list(range(1, count + 1))
+
+
+def test_leaving_before_the_agent_is_up_and_starting_again_at_the_same_address(halls: Any) -> None:
+    hall = halls(agent_up=False)
+    hall.instance.until("phase", phase="awaiting agent")
+    assert hall.instance.leave() == 0
+    again = halls(port=hall.instance.port)
+    again.up()
+    with again.instance.connect() as link:
+        link.sendall(process(1, words(1)))
+        again.run(b"read")
+        next(frames(link))
+    again.instance.process.kill()
+    again.instance.process.wait(PATIENCE)
+    halls(port=hall.instance.port).up()
+
+
+def test_a_malformed_message_gets_an_exception_and_the_rest_is_served(hall: Hall) -> None:
+    with hall.instance.connect() as link, hall.instance.connect() as noise:
+        noise.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        assert noise.recv(1) == b""
+        link.sendall(process(1, words(1, service="attic")) + process(2, words(2)))
+        source = frames(link)
+        assert answered(next(source))[1:3] == (TMessageType.EXCEPTION, 1)
+        hall.run(b"read")
+        assert answered(next(source))[3][0][1] == b"read"
+
+
+def test_more_connections_than_descriptors_live_on(halls: Any) -> None:
+    hall = halls(limits={"sockets": 64})
+    hall.up()
+    links = [hall.instance.connect() for _ in range(80)]
+    for link in reversed(links):
+        if link.getsockname() == links[-1].getsockname():
+            link.sendall(process(1, words(1)))
+            hall.run(b"read")
+            assert answered(next(frames(link)))[3][0][1] == b"read"
+    assert links[0].recv(1) == b""
+    for link in links:
+        link.close()
+
+
+def test_a_peer_that_does_not_read_stalls_nobody(hall: Hall) -> None:
+    with hall.instance.connect() as deaf, hall.instance.connect() as link:
+        deaf.setblocking(False)
+        try:
+            for seq in range(1, 1_000_000):
+                deaf.sendall(probe(seq, False))
+        except (BlockingIOError, ConnectionError):
+            pass
+        link.sendall(process(1, words(1)))
+        hall.run(b"read")
+        assert answered(next(frames(link)))[3][0][1] == b"read"
+
+
+def test_after_a_standstill_what_lies_unread_is_read_first(hall: Hall) -> None:
+    """The result lies in the socket while the task's due time passes; it is served, not given up."""
+    with hall.instance.connect() as link:
+        due = time.monotonic() + SETTINGS["classes"][0]["promise"] + 0.1
+        link.sendall(process(1, words(1)))
+        launch = hall.agent.hear()
+        ask(link, probe(2, False))
+        os.kill(hall.instance.process.pid, signal.SIGSTOP)
+        hall.agent.end(launch[1], b"read")
+        while time.monotonic() < due:
+            os.sched_yield()
+        os.kill(hall.instance.process.pid, signal.SIGCONT)
+        assert set(answered(next(frames(link)))[3]) == {0}
+
+
+@pytest.mark.parametrize("config", [None, "no file", "{", '{"settings": 1}'])
+def test_a_start_without_a_plate_ends_with_a_plain_line(tmp_path: Path, config: str | None) -> None:
+    path = tmp_path / "config.json"
+    if config is not None and config != "no file":
+        path.write_text(config)
+    process = start({} if config is None else {"ROUTER_CONFIG": str(path)})
+    out, told = process.communicate(timeout=PATIENCE)
+    assert (process.returncode, out, len(told.splitlines())) == (2, b"", 1)
+
+
+def test_an_address_that_is_taken_is_told(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        agent, announce = FakeAgent(), FakeAnnounce()
+        instance = Instance(tmp_path, agent, announce, port=taken.getsockname()[1])
+        assert instance.process.wait(PATIENCE) == 1
+        agent.close()
+        announce.close()
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,290 @@
+"""What is spoken: against an independent codec, in any pieces, and with all that may come wrong."""
+
+import json
+import os
+import random
+import time
+from pathlib import Path
+from typing import Any
+
+import h11
+import pytest
+from thrift.Thrift import TMessageType, TType
+
+from tests.host import SETTINGS, answered, asked, booking, probe, process, words
+from thistleline.life.clock import Clock
+from thistleline.life.log import LINES_BOUND, Log
+from thistleline.life.plate import read_plate
+from thistleline.policy import MS, SECOND
+from thistleline.wire import agent, announce, thrift
+from thistleline.wire.bench import Malformed, read_bench
+from thistleline.wire.buffer import Buffer
+
+STUBS = thrift.Stubs(read_bench(SETTINGS))
+
+
+def fed(pieces: list[bytes], size: int = thrift.BUFFER_BOUND) -> list[tuple[Any, ...]]:
+    """What comes out of a buffer filled piece by piece; slices are copied, as the buffer goes on."""
+    buffer, told = Buffer(size), []
+    for piece in pieces:
+        while piece:
+            room = buffer.room()
+            count = min(len(room), len(piece))
+            room[:count] = piece[:count]
+            buffer.filled(count)
+            piece = piece[count:]
+            for message in STUBS.messages(buffer):
+                told.append(tuple(bytes(part) if isinstance(part, memoryview) else part for part in message))
+    return told
+
+
+def test_a_task_is_read_from_an_independent_codec() -> None:
+    body = bytes(range(256)) * 8
+    told = words(9, since="1764576000123", dup="1", novel="passed over")
+    [(kind, seq, task, word, read)] = fed([process(3, told, body)])
+    assert (kind, seq, word, read) == ("task", 3, "7f3a9c21e0b4d655", body)
+    assert (task.id, task.stage, task.owner, task.caller) == ("0000000000000009", 0, 0, 2)
+    assert (task.work, task.held_kb, task.rank, task.again) == (12_500_000, 24.5, 0.625, True)
+    assert (task.reached, task.user) == (1764576000123 * MS, 0x7F3A9C21E0B4D655)
+    [(_, _, task, word, _)] = fed([process(4, booking(1, "5c0f", effort=None))])
+    assert (task.stage, task.work, task.user, word, task.again) == (1, None, None, "5c0f", False)
+
+
+def test_answers_are_read_by_an_independent_codec() -> None:
+    body = bytes(range(256)) * 16
+    assert answered(thrift.finished(7, body, 0.25)[4:]) == (
+        "process",
+        TMessageType.REPLY,
+        7,
+        {0: {1: body, 2: {"pressure": "0.250000"}, 3: True}},
+    )
+    assert answered(thrift.rejected(8, True, 1_500_001, 1.0)[4:])[3] == {
+        1: {1: {"pressure": "1.000000", "cooldown": "2", "nowhere": "1"}}
+    }
+    assert answered(thrift.rejected(8, False, 0, None)[4:])[3] == {1: {1: {}}}
+    assert answered(thrift.abandoned(9, None)[4:])[3] == {2: {1: {}}}
+    assert answered(thrift.health(1, False, 0.5)[4:])[::3] == (
+        "probe",
+        {0: {1: b"", 2: {"pressure": "0.500000"}, 3: False}},
+    )
+    method, kind, seq, fields = answered(thrift.exception(5, b"process", "not so")[4:])
+    assert (method, kind, seq, fields[1]) == ("process", TMessageType.EXCEPTION, 5, b"not so")
+    assert answered(thrift.farewell()[4:]) == ("farewell", TMessageType.ONEWAY, 0, {})
+
+
+def test_frames_come_in_any_pieces() -> None:
+    stream = process(1, words(1)) + probe(2, True) + process(3, booking(2, "mark"), b"") + probe(4, False)
+    whole = fed([stream])
+    assert [message[:2] for message in whole] == [("task", 1), ("probe", 2), ("task", 3), ("probe", 4)]
+    for cut in range(len(stream)):
+        assert fed([stream[:cut], stream[cut:]]) == whole
+    assert fed([stream[place : place + 1] for place in range(len(stream))]) == whole
+
+
+def frame(content: bytes) -> bytes:
+    return len(content).to_bytes(4, "big") + content
+
+
+@pytest.mark.parametrize(
+    ("sent", "seq"),
+    [
+        (process(5, words(service="attic")), 5),
+        (process(5, words(service=None)), 5),
+        (process(5, words(project="nobody")), 5),
+        (process(5, words(ref="xyz")), 5),
+        (process(5, words(since="soon")), 5),
+        (process(5, words(since="9" * 400)), 5),
+        (process(5, words(effort="1e999999999")), 5),
+        (process(5, words(effort="nan")), 5),
+        (process(5, words(room="2000")), 5),
+        (process(5, words(room="-1")), 5),
+        (process(5, words(class_rank="1.0")), 5),
+        (process(5, words(sender="9" * 4000)), 5),
+        (process(5, words(lookup="f" * 900)), 5),
+        (process(5, words(lookup="no hex")), 5),
+        (process(5, words(service="booking")), 5),
+        (process(5, words(), b"x" * 2049), 5),
+        (asked("process", 5), 5),
+        (asked("process", 5, (TType.I32, 1)), 5),
+        (asked("attic", 5), 5),
+        (asked("process", 5, (TType.MAP, words()), kind=TMessageType.REPLY), 5),
+        (process(5, {f"w{place}": "" for place in range(65)}), 5),
+        (process(5, words(), b"x" * 20_000), 5),
+        (frame(process(5, words())[4:-40]), 5),
+        (frame(b"\x80\x01\x00\x01\x00\x00\x00\x03a"), None),
+        (frame(b"\x00\x00\x00\x07process\x01\x00\x00\x00\x05\x00"), None),
+        (frame(b""), None),
+        (b"GET / HTTP/1.1\r\n\r\n", None),
+        (b"\xff\xff\xff\xff" + b"x" * 200, None),
+    ],
+)
+def test_what_is_malformed_is_told_with_its_number_where_it_has_one(sent: bytes, seq: int | None) -> None:
+    first = fed([sent + probe(6, False)])
+    assert first[0][:2] == ("malformed", seq)
+    if seq is not None:
+        assert first[1:] == [("probe", 6, False)]
+        assert fed([sent[place : place + 1] for place in range(len(sent))]) == first[:1]
+
+
+def test_noise_never_raises_anything_else() -> None:
+    chance = random.Random(3)
+    good = process(1, words()) + process(2, booking(3, "mark"))
+    for _ in range(3000):
+        noisy = bytearray(good)
+        for _ in range(chance.randint(1, 6)):
+            noisy[chance.randrange(len(noisy))] = chance.randrange(256)
+        for message in fed([bytes(noisy)]):
+            assert message[0] in ("task", "probe", "malformed")
+
+
+def heard(pieces: list[bytes]) -> list[tuple[Any, ...]]:
+    buffer, told = Buffer(agent.BUFFER_BOUND), []
+    for piece in pieces:
+        buffer.room()[: len(piece)] = piece
+        buffer.filled(len(piece))
+        for notice in agent.notices(buffer):
+            told.append(tuple(bytes(part) if isinstance(part, memoryview) else part for part in notice))
+    return told
+
+
+def test_notices_come_in_any_pieces() -> None:
+    stream = (
+        b"greeting new 1500\r\noutcome 1 ab good 12.5 6\r\na\r\nb\r\n\r\naside 2 all is well\r\n"
+        b"outcome 3 cd gone 0 0\r\n\r\nsampled 7 0.5 3 0.1 12\r\nexercised x bad\r\nrefusal launch ef\r\n"
+        b"sing\r\n"
+    )
+    whole = heard([stream])
+    assert whole == [
+        ("greeting", True, 1500 * MS),
+        ("outcome", 1, "ab", "finished", 12_500_000, b"a\r\nb\r\n"),
+        ("remark", 2),
+        ("outcome", 3, "cd", "moot", 0, b""),
+        ("sampled", "7", [0.5, 3.0, 0.1, 12.0]),
+        ("exercised", "x", False),
+        ("refusal", "launch", "ef"),
+        ("unknown", "sing"),
+    ]
+    for cut in range(len(stream)):
+        assert heard([stream[:cut], stream[cut:]]) == whole
+
+
+@pytest.mark.parametrize(
+    "noise",
+    [
+        b"x" * 5000,
+        b"outcome 1 ab good 5\r\n",
+        b"outcome 1 ab good 5 99999999\r\n",
+        b"outcome 1 ab good 5 1\r\nabc\r\n",
+    ],
+)
+def test_a_link_that_makes_no_sense_is_given_up(noise: bytes) -> None:
+    with pytest.raises(Malformed):
+        heard([noise])
+
+
+def test_an_unknown_end_counts_as_failed() -> None:
+    assert heard([b"outcome 1 ab odd 5 0\r\n\r\n"]) == [("outcome", 1, "ab", "failed", 5 * MS, b"")]
+
+
+@pytest.mark.parametrize("cut", [1, 20, 60])
+def test_reports_are_answered_in_pieces_and_their_connection_kept(cut: int) -> None:
+    reports = announce.Reports("127.0.0.1:1")
+    for _ in range(2):
+        sent = reports.report("n3", True)
+        assert sent.startswith(b"PUT /announce/n3 HTTP/1.1\r\n")
+        assert sent.endswith(b'\r\n\r\n{"accepting":"true"}')
+        answer = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nServer: x\r\n\r\n"
+        assert reports.answered(answer[:cut]) is None
+        assert reports.answered(answer[cut:]) == 204
+        assert reports.again()
+
+
+@pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 2", b"nonsense\r\n\r\n"])
+def test_a_report_cut_short_is_told(answer: bytes) -> None:
+    reports = announce.Reports("127.0.0.1:1")
+    reports.report("n3", False)
+    with pytest.raises(h11.RemoteProtocolError):
+        [reports.answered(piece) for piece in dict.fromkeys((answer, b""))]
+
+
+# ---- what is read at start, the clock and the log
+
+
+TOLD = {
+    "name": "n3",
+    "listen": "127.0.0.4:9090",
+    "agent": "127.0.0.1:9300",
+    "announce": "127.0.0.2:8761",
+    "seed": "8c1f30d27a5be964",
+    "stop_ms": 3200,
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "more": 1},
+    "settings": SETTINGS,
+}
+
+
+def test_the_plate_is_read(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(TOLD))
+    plate = read_plate({"ROUTER_CONFIG": str(path), "ROUTER_LISTEN": "127.0.0.5:9091"})
+    assert (plate.name, plate.listen, plate.seed) == ("n3", ("127.0.0.5", 9091), 0x8C1F30D27A5BE964)
+    assert (plate.stop_span, plate.granularity, plate.descriptors <= 1024) == (3200 * MS, 5 * MS, True)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"settings": None},
+        {"settings": {}},
+        {"settings": {**SETTINGS, "classes": []}},
+        {"settings": {**SETTINGS, "classes": [{"name": "x", "effect": "odd"}]}},
+        {"settings": {**SETTINGS, "familyInfo": {**SETTINGS["familyInfo"], "dependsOn": "shared"}}},
+        {"seed": "green"},
+        {"listen": "9090"},
+        {"limits": []},
+        {"stop_ms": "soon"},
+        {"agent": None},
+    ],
+)
+def test_a_plate_that_can_not_be_read_is_told_in_a_line(tmp_path: Path, change: dict[str, Any]) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(TOLD | change))
+    with pytest.raises(Malformed) as told:
+        read_plate({"ROUTER_CONFIG": str(path)})
+    assert "\n" not in str(told.value)
+    assert str(told.value)
+
+
+def test_the_clock_goes_on_when_the_systems_steps_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = Clock()
+    before, system = clock.now(), time.time_ns
+    monkeypatch.setattr(time, "time_ns", lambda: system() - 3600 * SECOND)
+    assert 0 <= clock.now() - before < 60 * SECOND
+    assert 3590 * SECOND < clock.skew() < 3610 * SECOND
+
+
+def test_a_log_that_nobody_reads_stalls_nothing_and_says_what_it_dropped() -> None:
+    source, sink = os.pipe()
+    log = Log("n1", sink)
+    for count in range(5 * LINES_BOUND):
+        log.event(count, "story", {"text": "x" * 500})
+    assert log.dropped > 0
+    text = b""
+    while log.lines or log.dropped:
+        text += os.read(source, 1 << 20)
+        log.flush()
+    text += os.read(source, 1 << 20)
+    lines = [json.loads(line) for line in text.splitlines()]
+    assert lines[0] == {"at_ms": 0, "name": "n1", "event": "story", "text": "x" * 500}
+    assert lines[-1]["event"] == "dropped"
+    assert sum(1 for line in lines if line["event"] == "story") + lines[-1]["lines"] == 5 * LINES_BOUND
+    os.close(source)
+    log.event(1, "more", {})
+    os.close(sink)
+
+
+def test_a_line_of_the_log_stays_a_line_however_long() -> None:
+    source, sink = os.pipe()
+    Log("n1", sink).event(0, "story", {"text": "x" * 9000})
+    assert json.loads(os.read(source, 1 << 20))["event"] == "story"
+    os.close(source)
+    os.close(sink)
--- a/thistleline/life/farm.py
+++ b/thistleline/life/farm.py
@@ -23,7 +23,7 @@
     async def hold(self, notice: Callable[[], int]) -> None:
         tries = 0
         while True:
-            why = "closed"
+            why, begun = "closed", anyio.current_time()
             try:
                 with anyio.fail_after(PATIENCE):
                     sock = await connect(self.address)
@@ -35,7 +35,6 @@
                     if not await self.stream.read():
                         break
                     for told in agent.notices(self.stream.buffer):
-                        tries = 0
                         self.take(*told)
             except (OSError, TimeoutError, anyio.ClosedResourceError) as error:
                 why = str(error) or type(error).__name__
@@ -45,6 +44,8 @@
                 self.stream.close()
                 self.stream = None
             self.take("unlinked", why)
+            if anyio.current_time() - begun > PATIENCE:
+                tries = 0
             await anyio.sleep(PAUSES[min(tries, len(PAUSES) - 1)])
             tries += 1
 
--- a/thistleline/life/front.py
+++ b/thistleline/life/front.py
@@ -1,6 +1,5 @@
 """The listening socket and its connections to client stubs."""
 
-import errno
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -15,7 +14,7 @@
 
 WRITE_BOUND = 256 * 1024  # a full connection's answers take under 140 KiB
 BACKLOG = 1024
-PAUSE = 0.05  # when no descriptor is to be had
+PAUSE = 0.05
 
 
 def listen(address: Address) -> socket.socket:
@@ -42,10 +41,8 @@
                 self._accept_all(listener)
             except anyio.ClosedResourceError:
                 return
-            except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    raise
-                await anyio.sleep(PAUSE)
+            except OSError:
+                await anyio.sleep(PAUSE)  # no descriptor or memory is to be had just now
 
     def _accept_all(self, listener: socket.socket) -> None:
         while True:
@@ -74,6 +71,8 @@
             pass
         except OSError as error:
             why = error.strerror or "broken"
+        except Exception as error:
+            why = f"{type(error).__name__}: {error}"
         finally:
             self.take("ended", name, why)
             self.close(name)
--- a/thistleline/life/log.py
+++ b/thistleline/life/log.py
@@ -25,7 +25,12 @@
             self.dropped += 1
         else:
             line = {"at_ms": now // 1_000_000, "name": self.name, "event": event, **facts}
-            self.lines.append(orjson.dumps(line, default=str)[: PIECE - 1] + b"\n")
+            text = orjson.dumps(line, default=str)
+            if len(text) >= PIECE:
+                text = orjson.dumps(
+                    {"at_ms": now // 1_000_000, "name": self.name, "event": event, "cut": True}
+                )
+            self.lines.append(text + b"\n")
         self.flush()
 
     def flush(self) -> None:
--- a/thistleline/life/plate.py
+++ b/thistleline/life/plate.py
@@ -11,6 +11,7 @@
 from thistleline.wire.bench import Malformed, read_bench, read_gauges, read_granularity
 
 Address = tuple[str, int]
+MS = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +27,19 @@
     gauges: tuple[str, ...]
     granularity: int
 
+    def facts(self) -> dict[str, Any]:
+        """What helps to read the log."""
+        return {
+            "stages": {
+                stage.name: [stage.due_span // MS, stage.limit_span // MS, stage.window // MS]
+                for stage in self.bench.stages
+            },
+            "cores": self.bench.cores,
+            "memory_kb": self.bench.memory_kb,
+            "stop_ms": self.stop_span // MS,
+            "granularity_us": self.granularity // 1000,
+        }
+
 
 def read_plate(environ: Mapping[str, str]) -> Plate:
     """Raises Malformed with one plain line; keys that are not known are passed over."""
@@ -50,10 +64,14 @@
         )
     except OSError as error:
         raise Malformed(f"{path}: {error.strerror}") from error
+    except Malformed as error:
+        raise Malformed(f"{path}: {error}") from error
     except KeyError as error:
         raise Malformed(f"{path}: {error.args[0]!r} is missing or unknown") from error
     except (ValueError, TypeError, ArithmeticError, AttributeError) as error:
         raise Malformed(f"{path}: {' '.join(str(error).split())}") from error
+    if not plate.bench.stages:
+        raise Malformed(f"{path}: there are no stages")
     if plate.bench.below != "none":
         raise Malformed(f"{path}: the agent's protocol has no calls to what lies below")
     return plate
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -4,7 +4,7 @@
 import os
 import resource
 import signal
-import time
+import traceback
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -25,6 +25,8 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 RESERVE = 24  # descriptors that are no client stub's: listener, links, log, the loop's own
 FIGURES_EVERY = 5.0
+READ_FIRST = 3  # turns of the loop in which all that lies unread comes in, before the clock is heeded
+STANDSTILL, READ_FIRST_AFTER_STANDSTILL = 100 * MS, 12
 
 
 class Service:
@@ -46,7 +48,8 @@
         self.sleeps_until = 0
         self.busy = False
         self.does: dict[str, Callable[..., None]] = {}
-        self.late = self.longest = 0  # the worst since the last figures
+        self.read_at = 0  # when the first task was read that no round has seen
+        self.late = self.longest = self.delay = 0  # the worst since the last figures
 
     async def run(self) -> None:
         """Raises OSError where it can't listen."""
@@ -60,6 +63,7 @@
             self.does |= {"log": self.told, "end": group.cancel_scope.cancel}
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
                 self.take("listening")
+                self.note("started", **self.plate.facts())
                 group.start_soon(front.accept)
                 group.start_soon(farm.hold, lambda: self.reducer.notice)
                 group.start_soon(announcer.keep_reporting)
@@ -72,6 +76,7 @@
 
     def take_task(self, kind: str, *told: Any) -> None:
         if kind == "task":
+            self.read_at = self.read_at or self.clock.now()
             connection, seq, task, word, body = told
             skew = self.clock.skew()
             if abs(skew) > MS:
@@ -81,7 +86,12 @@
 
     def take(self, kind: str, *told: Any) -> None:
         """One input into the reducer; its effects are carried out before anything else is read."""
-        for effect in self.reducer.take(self.clock.now(), kind, *told):
+        try:
+            effects = self.reducer.take(self.clock.now(), kind, *told)
+        except Exception:
+            self.note("fault", input=kind, trace=traceback.format_exc()[-2000:])
+            return
+        for effect in effects:
             self.does[effect[0]](*effect[1:])
         if not self.busy:
             self.busy = True
@@ -104,14 +114,16 @@
                     await self.woken.wait()
                 self.sleeps_until = 0
                 continue
-            for _ in range(3):
+            for _ in range(READ_FIRST if -wait < STANDSTILL else READ_FIRST_AFTER_STANDSTILL):
                 await anyio.lowlevel.checkpoint()
             alarm = self.reducer.alarms.due()
             if alarm is not None:
                 self.late = max(self.late, self.clock.now() - alarm)
-            begun = time.monotonic_ns()
+            begun = self.clock.now()
             self.take("round")
-            self.longest = max(self.longest, time.monotonic_ns() - begun)
+            self.longest = max(self.longest, self.clock.now() - begun)
+            if self.read_at and not self.reducer.came_in:
+                self.delay, self.read_at = max(self.delay, self.clock.now() - self.read_at), 0
 
     async def figures(self) -> None:
         while True:
@@ -129,8 +141,9 @@
                 peak_kb=usage.ru_maxrss,
                 late_us=self.late // 1000,
                 longest_us=self.longest // 1000,
+                delay_us=self.delay // 1000,
             )
-            self.late = self.longest = 0
+            self.late = self.longest = self.delay = 0
 
     def note(self, event: str, **facts: Any) -> None:
         self.log.event(self.clock.now(), event, facts)
--- a/thistleline/wire/agent.py
+++ b/thistleline/wire/agent.py
@@ -52,7 +52,14 @@
     try:
         match words:
             case ["outcome", number, name, end, took, _]:
-                return ("outcome", int(number), name, RUN_ENDS[end], nanos(took) // 1000, result)
+                return (
+                    "outcome",
+                    int(number),
+                    name,
+                    RUN_ENDS.get(end, "failed"),
+                    nanos(took) // 1000,
+                    result,
+                )
             case ["sampled", tag, *values]:
                 return ("sampled", tag, [float(value) for value in values])
             case ["greeting", state, age]:
--- a/thistleline/wire/thrift.py
+++ b/thistleline/wire/thrift.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from thistleline.interface import Bench, Task
-from thistleline.wire.bench import Malformed, nanos
+from thistleline.wire.bench import Malformed
 from thistleline.wire.buffer import Buffer
 
 VERSION = 0x80010000
@@ -24,6 +24,7 @@
 FRAME_BOUND = 16 * 1024  # a task with the largest body takes under 4 KiB
 BUFFER_BOUND = 2 * FRAME_BOUND
 BODY_BOUND, FIELDS_BOUND, NAME_BOUND, DEPTH_BOUND = 2048, 64, 64, 16
+DIGITS_BOUND, WORK_BOUND = 16, 1e9  # of a number; milliseconds
 PASSED_OVER_BOUND = 1 << 24  # a longer frame is taken for noise
 
 _i16, _i32, _u32 = Struct(">h").unpack_from, Struct(">i").unpack_from, Struct(">I").unpack_from
@@ -181,12 +182,12 @@
                 id=ref,
                 stage=stage,
                 owner=self.owners[words["project"]] if self.owners else 0,
-                caller=int(words["sender"]),
+                caller=_whole(words["sender"]),
                 rank=_number(words["class_rank"], 1.0),
-                user=None if subject is None else int(subject, 16),
-                work=None if effort is None else nanos(effort) // 1000 or None,
+                user=None if subject is None else _whole(subject, 16),
+                work=None if effort is None else int(_number(effort, WORK_BOUND) * 1_000_000) or None,
                 held_kb=_number(words["room"], 2000.0),
-                reached=int(words["since"]) * 1_000_000,
+                reached=_whole(words["since"]) * 1_000_000,
                 limit=None,
                 again="dup" in words,
                 repeats=None,
@@ -209,6 +210,12 @@
         return None, b""
 
 
+def _whole(text: str, base: int = 10) -> int:
+    if len(text) > DIGITS_BOUND:
+        raise Malformed("a number is too long")
+    return int(text, base)
+
+
 def _number(text: str, bound: float) -> float:
     value = float(text)
     if not 0 <= value < bound:
