--- a/tests/host.py
+++ b/tests/host.py
@@ -8,6 +8,7 @@
 import struct
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from collections.abc import Iterator
@@ -157,7 +158,7 @@
         self.count = 0
         self.put("listening")
         if up:
-            self.put("greeting", False, 60 * SECOND)
+            self.put("agent_up", False, 60 * SECOND)
             self.wait(50 * MS)
 
     def put(self, kind: str, *told: Any) -> list[tuple[Any, ...]]:
@@ -165,9 +166,9 @@
         effects = self.reducer.take(self.now, kind, *told)
         self.effects += effects
         for effect in effects:
-            if effect[0] == "sample" and self.answers_samples:
-                self.put("sampled", effect[1], [0.5, 2.0])
-        return [effect for effect in effects if effect[0] not in ("log", "read", "sample")]
+            if effect[0] == "measure" and self.answers_samples:
+                self.put("measured", effect[1], [0.5, 2.0])
+        return [effect for effect in effects if effect[0] not in ("log", "read", "measure")]
 
     def wait(self, span: int = 10 * MS) -> list[tuple[Any, ...]]:
         """Lets time pass; what it brought."""
@@ -176,7 +177,7 @@
             self.now = min(end, max(self.now, self.reducer.due()))
             if self.reducer.due() <= self.now:
                 self.put("round")
-        return [effect for effect in self.effects[before:] if effect[0] not in ("log", "read", "sample")]
+        return [effect for effect in self.effects[before:] if effect[0] not in ("log", "read", "measure")]
 
     def send(self, connection: int, word: str | None = None, **changes: Any) -> str:
         """A task comes in on a connection, which is opened if need be."""
@@ -194,13 +195,13 @@
         if number is None:
             self.number += 1
             number = self.number
-        return self.put("outcome", number, name, how, 100 * MS, memoryview(b"result of " + name.encode()))
+        return self.put("run_over", number, name, how, 100 * MS, memoryview(b"result of " + name.encode()))
 
     def kinds(self, *kinds: str) -> list[tuple[Any, ...]]:
         return [effect for effect in self.effects if effect[0] in kinds]
 
     def launched(self) -> list[str]:
-        return [effect[1] for effect in self.kinds("launch")]
+        return [effect[1] for effect in self.kinds("start")]
 
     def answers(self) -> list[str]:
         return [effect[0] for effect in self.kinds("finished", "rejected", "abandoned")]
@@ -482,3 +483,23 @@
     if typed == TType.BOOL:
         return source.readBool()
     return source.readI32() if typed == TType.I32 else source.readBinary()
+
+
+def try_by_hand() -> None:
+    """One task through the program, printed."""
+    with tempfile.TemporaryDirectory() as folder:
+        agent = FakeAgent()
+        instance = Instance(Path(folder), agent, FakeAnnounce())
+        print(instance.until("phase", phase="serving"))
+        with instance.connect() as link:
+            link.sendall(process(1, words(1)))
+            agent.hear()
+            launch = agent.hear()
+            print(launch)
+            agent.end(launch[1], b"the kiln is free on Friday")
+            print(answered(next(frames(link))))
+        print("exit code", instance.leave())
+
+
+if __name__ == "__main__":
+    try_by_hand()
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -16,7 +16,7 @@
 def test_a_task_is_launched_and_answered_once() -> None:
     desk = Desk()
     name = desk.send(1)
-    assert desk.wait() == [("launch", name, "lookup", b"body")]
+    assert desk.wait() == [("start", name, "lookup", b"body")]
     assert [effect[:4] for effect in desk.end(name)] == [("finished", 1, 1, b"result of t1")]
     desk.end(name)
     desk.wait(5 * SECOND)
@@ -54,7 +54,7 @@
     desk.send(1, "mark")
     if late == "the link is lost":
         desk.wait()
-        desk.put("unlinked", "gone")
+        desk.put("agent_lost", "gone")
     while len(desk.answers()) < 2:
         assert desk.now < sent + BOOKING.limit_span
         desk.wait(25 * MS)
@@ -65,7 +65,7 @@
     desk = Desk()
     name = desk.send(1)
     desk.wait(LOOKUP.due_span + 100 * MS)
-    assert desk.kinds("freeze") == [("freeze", name)]
+    assert desk.kinds("stop") == [("stop", name)]
     desk.end(name, "stopped")
     assert desk.answers() == ["abandoned"]
 
@@ -74,7 +74,7 @@
     desk = Desk()
     desk.send(1, id="same")
     desk.send(2, id="same")
-    assert [effect[1] for effect in desk.kinds("exception")] == [2]
+    assert [effect[1] for effect in desk.kinds("misunderstood")] == [2]
     desk.wait()
     desk.end("same")
     assert desk.answers() == ["finished"]
@@ -89,9 +89,9 @@
 
 def test_answers_carry_the_level_from_when_it_was_said() -> None:
     desk = Desk()
-    assert desk.put("probe", 1, 9, False) == [("health", 1, 9, True, None)]
+    assert desk.put("check", 1, 9, False) == [("health", 1, 9, True, None)]
     desk.reducer.say(0.25)
-    assert desk.put("probe", 1, 9, False) == [("health", 1, 9, True, 0.25)]
+    assert desk.put("check", 1, 9, False) == [("health", 1, 9, True, 0.25)]
 
 
 # ---- no effect twice
@@ -220,13 +220,13 @@
     desk.answers_samples = False
     unsure, ended = desk.send(1, "mark"), desk.send(1, "other")
     desk.wait()
-    desk.put("unlinked", "reset")
+    desk.put("agent_lost", "reset")
     away = desk.send(2)
     desk.wait()
     assert desk.launched() == [sure, unsure, ended]
     desk.effects.clear()
     desk.answers_samples = True
-    desk.put("greeting", False, 61 * SECOND)
+    desk.put("agent_up", False, 61 * SECOND)
     assert sorted(desk.launched()) == sorted([unsure, ended, away])
 
 
@@ -235,13 +235,13 @@
     desk.answers_samples = False
     name = desk.send(1, "mark")
     desk.wait()
-    desk.put("unlinked", "reset")
+    desk.put("agent_lost", "reset")
     desk.effects.clear()
-    desk.put("greeting", False, 61 * SECOND)
-    mark = desk.kinds("sample")[-1][1]
+    desk.put("agent_up", False, 61 * SECOND)
+    mark = desk.kinds("measure")[-1][1]
     desk.end(name, number=5)
     desk.end(name, number=5)
-    desk.put("sampled", mark, [0.5, 2.0])
+    desk.put("measured", mark, [0.5, 2.0])
     desk.wait()
     assert desk.launched() == []
     assert desk.answers() == ["finished"]
@@ -250,10 +250,10 @@
 
 def test_a_run_given_up_while_the_link_is_down_is_never_launched() -> None:
     desk = Desk()
-    desk.put("unlinked", "reset")
+    desk.put("agent_lost", "reset")
     desk.send(1)
     desk.wait(LOOKUP.limit_span)
-    desk.put("greeting", False, 99 * SECOND)
+    desk.put("agent_up", False, 99 * SECOND)
     desk.wait(100 * MS)
     assert desk.launched() == []
     assert len(desk.answers()) == 1
@@ -261,7 +261,7 @@
 
 @pytest.mark.parametrize(
     "notice",
-    [("refusal", "launch", "t1"), ("remark", 3), ("unknown", "hello"), ("refusal", "sample", "1")],
+    [("declined", "start", "t1"), ("remark", 3), ("unknown", "hello"), ("declined", "measure", "1")],
 )
 def test_what_the_agent_says_beside_is_taken_calmly(notice: tuple[Any, ...]) -> None:
     desk = Desk()
@@ -277,7 +277,7 @@
 def test_the_greeting_tells_whether_the_machine_is_cold(fresh: bool, age: int, room: int) -> None:
     desk = Desk(up=False)
     desk.wait(SECOND)
-    desk.put("greeting", fresh, age)
+    desk.put("agent_up", fresh, age)
     desk.reducer.module.limit = 99.0
     assert desk.reducer.module._room() == room
 
@@ -285,13 +285,13 @@
 def test_no_health_before_the_agent_and_a_deep_check_asks_it() -> None:
     desk = Desk(up=False)
     desk.put("opened", 1)
-    assert desk.put("probe", 1, 1, True) == [("health", 1, 1, False, None)]
-    desk.put("greeting", False, 0)
+    assert desk.put("check", 1, 1, True) == [("health", 1, 1, False, None)]
+    desk.put("agent_up", False, 0)
     desk.reducer.health(True, False)
-    assert desk.put("probe", 1, 2, True) == [("exercise", "check-1-2")]
-    assert desk.put("exercised", "check-1-2", True) == [("health", 1, 2, True, None)]
-    desk.put("probe", 1, 3, True)
-    assert desk.put("unlinked", "reset") == [("health", 1, 3, False, None)]
+    assert desk.put("check", 1, 2, True) == [("deep_check", "check-1-2")]
+    assert desk.put("deep_checked", "check-1-2", True) == [("health", 1, 2, True, None)]
+    desk.put("check", 1, 3, True)
+    assert desk.put("agent_lost", "reset") == [("health", 1, 3, False, None)]
 
 
 # ---- connections
@@ -326,7 +326,7 @@
     desk.wait()
     desk.reducer.close_idle(SECOND)
     told = desk.wait(2 * SECOND)
-    assert told[:2] == [("farewell", 1), ("close", 1)]
+    assert told[:2] == [("dismiss", 1), ("close", 1)]
     assert ("close", 2) not in told
     desk.end(busy)
 
@@ -336,7 +336,7 @@
     desk = Desk()
     other, _ = desk.send(1), desk.send(2)
     told = desk.put("malformed", 2, seq, b"process", "not strict binary")
-    assert told == [("close", 2) if seq is None else ("exception", 2, 7, b"process", "not strict binary")]
+    assert told == [("close", 2) if seq is None else ("misunderstood", 2, 7, b"process", "not strict binary")]
     desk.wait()
     desk.end(other)
     assert ("finished", 1) in [effect[:2] for effect in desk.effects]
@@ -351,8 +351,8 @@
         desk.send(place % 4, f"mark{place}" if place % 2 else None)
     desk.wait()
     by = desk.now + 3 * SECOND
-    assert desk.put("leave", by)[:2] == [("accepting", False), ("deaf",)]
-    assert [effect[0] for effect in desk.kinds("farewell")] == ["farewell"] * 4
+    assert desk.put("leave", by)[:2] == [("report", False), ("deaf",)]
+    assert [effect[0] for effect in desk.kinds("dismiss")] == ["dismiss"] * 4
     assert desk.put("leave", by + SECOND) == []
     desk.wait(1500 * MS)
     late = desk.send(1)
@@ -376,7 +376,7 @@
     desk.wait()
     desk.put("leave", desk.now + 3 * SECOND)
     desk.end(name)
-    desk.wait(memory.FAREWELL_SPAN + 2 * memory.SWEEP)
+    desk.wait(memory.DISMISSAL_SPAN + 2 * memory.SWEEP)
     assert desk.kinds("close", "end") == [("close", 1), ("end",)]
 
 
@@ -386,6 +386,6 @@
     desk.wait()
     desk.put("leave", desk.now + 3 * SECOND)
     desk.send(2)
-    assert ("farewell", 2) in desk.effects
+    assert ("dismiss", 2) in desk.effects
     desk.wait(3 * SECOND)
     assert len(desk.answers()) == 2
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -67,15 +67,15 @@
         "probe",
         {0: {1: b"", 2: {"pressure": "0.500000"}, 3: False}},
     )
-    method, kind, seq, fields = answered(thrift.exception(5, b"process", "not so")[4:])
+    method, kind, seq, fields = answered(thrift.misunderstood(5, b"process", "not so")[4:])
     assert (method, kind, seq, fields[1]) == ("process", TMessageType.EXCEPTION, 5, b"not so")
-    assert answered(thrift.farewell()[4:]) == ("farewell", TMessageType.ONEWAY, 0, {})
+    assert answered(thrift.dismiss()[4:]) == ("farewell", TMessageType.ONEWAY, 0, {})
 
 
 def test_frames_come_in_any_pieces() -> None:
     stream = process(1, words(1)) + probe(2, True) + process(3, booking(2, "mark"), b"") + probe(4, False)
     whole = fed([stream])
-    assert [message[:2] for message in whole] == [("task", 1), ("probe", 2), ("task", 3), ("probe", 4)]
+    assert [message[:2] for message in whole] == [("task", 1), ("check", 2), ("task", 3), ("check", 4)]
     for cut in range(len(stream)):
         assert fed([stream[:cut], stream[cut:]]) == whole
     assert fed([stream[place : place + 1] for place in range(len(stream))]) == whole
@@ -122,7 +122,7 @@
     first = fed([sent + probe(6, False)])
     assert first[0][:2] == ("malformed", seq)
     if seq is not None:
-        assert first[1:] == [("probe", 6, False)]
+        assert first[1:] == [("check", 6, False)]
         assert fed([sent[place : place + 1] for place in range(len(sent))]) == first[:1]
 
 
@@ -134,7 +134,7 @@
         for _ in range(chance.randint(1, 6)):
             noisy[chance.randrange(len(noisy))] = chance.randrange(256)
         for message in fed([bytes(noisy)]):
-            assert message[0] in ("task", "probe", "malformed")
+            assert message[0] in ("task", "check", "malformed")
 
 
 def heard(pieces: list[bytes]) -> list[tuple[Any, ...]]:
@@ -155,13 +155,13 @@
     )
     whole = heard([stream])
     assert whole == [
-        ("greeting", True, 1500 * MS),
-        ("outcome", 1, "ab", "finished", 12_500_000, b"a\r\nb\r\n"),
+        ("agent_up", True, 1500 * MS),
+        ("run_over", 1, "ab", "finished", 12_500_000, b"a\r\nb\r\n"),
         ("remark", 2),
-        ("outcome", 3, "cd", "moot", 0, b""),
-        ("sampled", "7", [0.5, 3.0, 0.1, 12.0]),
-        ("exercised", "x", False),
-        ("refusal", "launch", "ef"),
+        ("run_over", 3, "cd", "moot", 0, b""),
+        ("measured", "7", [0.5, 3.0, 0.1, 12.0]),
+        ("deep_checked", "x", False),
+        ("declined", "start", "ef"),
         ("unknown", "sing"),
     ]
     for cut in range(len(stream)):
@@ -183,7 +183,7 @@
 
 
 def test_an_unknown_end_counts_as_failed() -> None:
-    assert heard([b"outcome 1 ab odd 5 0\r\n\r\n"]) == [("outcome", 1, "ab", "failed", 5 * MS, b"")]
+    assert heard([b"outcome 1 ab odd 5 0\r\n\r\n"]) == [("run_over", 1, "ab", "failed", 5 * MS, b"")]
 
 
 @pytest.mark.parametrize("cut", [1, 20, 60])
--- a/thistleline/life/announcer.py
+++ b/thistleline/life/announcer.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import anyio
-import h11
 from anyio.abc import TaskGroup
 
 from thistleline.life.plate import Address
@@ -19,7 +18,7 @@
 class Announcer:
     def __init__(self, name: str, address: Address, group: TaskGroup, log: Callable[..., None]) -> None:
         self.name, self.address, self.group, self.log = name, address, group, log
-        self.accepting = True
+        self.taking = True
         self.changed = anyio.Event()
         self.stream: Stream | None = None
         self.reports = Reports(f"{address[0]}:{address[1]}")
@@ -27,32 +26,32 @@
 
     def effects(self) -> dict[str, Callable[..., None]]:
         """What it carries out, by the kind of effect."""
-        return {"accepting": self.tell}
+        return {"report": self.tell}
 
-    def tell(self, accepting: bool) -> None:
-        self.accepting = accepting
+    def tell(self, taking: bool) -> None:
+        self.taking = taking
         self.changed.set()
 
     async def keep_reporting(self) -> None:
         """Ends with the first report that nothing is accepted any more: the entry may lapse then."""
         while True:
-            accepting = self.accepting
-            done = await self._report(accepting)
-            if done and not accepting:
+            taking = self.taking
+            done = await self._report(taking)
+            if done and not taking:
                 return
             with anyio.move_on_after(EVERY if done else PAUSE):
                 await self.changed.wait()
             if self.changed.is_set():
                 self.changed = anyio.Event()
 
-    async def _report(self, accepting: bool) -> bool:
+    async def _report(self, taking: bool) -> bool:
         why = ""
         try:
             with anyio.fail_after(PATIENCE):
-                status = await self._ask(accepting)
+                status = await self._ask(taking)
             if status != 204:
                 why = f"status {status}"
-        except (OSError, TimeoutError, h11.ProtocolError, anyio.ClosedResourceError) as error:
+        except Exception as error:  # whatever a report brings ends that connection alone
             why = str(error) or type(error).__name__
         if (why or not self.reports.again()) and self.stream is not None:
             self.stream.close()
@@ -62,13 +61,13 @@
             self.log("announce", state="down" if why else "up", why=why)
         return not why
 
-    async def _ask(self, accepting: bool) -> int:
+    async def _ask(self, taking: bool) -> int:
         if self.stream is None:
             sock = await connect(self.address)
             self.stream = Stream(sock, self.group, ANSWER_BOUND, ANSWER_BOUND)
             self.reports = Reports(self.reports.host)
         stream = self.stream
-        stream.write(self.reports.report(self.name, accepting))
+        stream.write(self.reports.report(self.name, taking))
         stream.flush()
         while True:
             stream.ask()
--- a/thistleline/life/farm.py
+++ b/thistleline/life/farm.py
@@ -8,7 +8,6 @@
 from thistleline.life.plate import Address
 from thistleline.life.streams import Stream, connect
 from thistleline.wire import agent
-from thistleline.wire.bench import Malformed
 
 WRITE_BOUND = 4 * 1024 * 1024
 PATIENCE = 1.0  # for a connection
@@ -38,12 +37,12 @@
                         self.take(*told)
             except (OSError, TimeoutError, anyio.ClosedResourceError) as error:
                 why = str(error) or type(error).__name__
-            except Malformed as error:
-                why = str(error)
+            except Exception as error:  # whatever a link brings ends that link alone
+                why = f"{type(error).__name__}: {error}"
             if self.stream is not None:
                 self.stream.close()
                 self.stream = None
-            self.take("unlinked", why)
+            self.take("agent_lost", why)
             if anyio.current_time() - begun > PATIENCE:
                 tries = 0
             await anyio.sleep(PAUSES[min(tries, len(PAUSES) - 1)])
@@ -54,27 +53,27 @@
     def effects(self) -> dict[str, Callable[..., None]]:
         """What it carries out, by the kind of effect."""
         return {
-            "launch": self.launch,
-            "freeze": self.freeze,
-            "sample": self.sample,
-            "exercise": self.exercise,
+            "start": self.start,
+            "stop": self.stop,
+            "measure": self.measure,
+            "deep_check": self.deep_check,
         }
 
     def _write(self, data: bytes) -> None:
         if self.stream is not None:
             self.stream.write(data)
 
-    def launch(self, task: str, stage: str, body: bytes) -> None:
-        self._write(agent.launch(task, stage, body))
+    def start(self, task: str, stage: str, body: bytes) -> None:
+        self._write(agent.start(task, stage, body))
 
-    def freeze(self, task: str) -> None:
-        self._write(agent.freeze(task))
+    def stop(self, task: str) -> None:
+        self._write(agent.stop(task))
 
-    def sample(self, tag: str) -> None:
-        self._write(agent.sample(tag))
+    def measure(self, tag: str) -> None:
+        self._write(agent.measure(tag))
 
-    def exercise(self, tag: str) -> None:
-        self._write(agent.exercise(tag))
+    def deep_check(self, tag: str) -> None:
+        self._write(agent.deep_check(tag))
 
     def flush(self) -> None:
         if self.stream is not None and not self.stream.flush():
--- a/thistleline/life/front.py
+++ b/thistleline/life/front.py
@@ -87,8 +87,8 @@
             "rejected": self.rejected,
             "abandoned": self.abandoned,
             "health": self.health,
-            "exception": self.exception,
-            "farewell": self.farewell,
+            "misunderstood": self.misunderstood,
+            "dismiss": self.dismiss,
             "close": self.close,
             "deaf": self.deaf,
         }
@@ -115,11 +115,11 @@
     def health(self, name: int, *told: Any) -> None:
         self.write(name, thrift.health(*told))
 
-    def exception(self, name: int, *told: Any) -> None:
-        self.write(name, thrift.exception(*told))
+    def misunderstood(self, name: int, *told: Any) -> None:
+        self.write(name, thrift.misunderstood(*told))
 
-    def farewell(self, name: int) -> None:
-        self.write(name, thrift.farewell())
+    def dismiss(self, name: int) -> None:
+        self.write(name, thrift.dismiss())
 
     def flush(self) -> list[int]:
         """Writes all that lies ready; returns the connections that are gone or don't read."""
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -104,17 +104,20 @@
             self.woken.set()
 
     async def pump(self) -> None:
-        """Rings for the reducer when it is due. After a pause all that lies unread is read first."""
+        """Rings for the reducer when it is due. All that lies unread by then is read first; where an input
+        woke this task, all that came with it has been."""
+        turns = 0
         while True:
             due = self.reducer.due()
             wait = due - self.clock.now()
             if wait > 0:
                 self.woken, self.sleeps_until = anyio.Event(), due
-                with anyio.move_on_after(wait / SECOND):
+                with anyio.move_on_after(wait / SECOND) as patience:
                     await self.woken.wait()
                 self.sleeps_until = 0
+                turns = READ_FIRST if patience.cancelled_caught else 0
                 continue
-            for _ in range(READ_FIRST if -wait < STANDSTILL else READ_FIRST_AFTER_STANDSTILL):
+            for _ in range(turns if -wait < STANDSTILL else READ_FIRST_AFTER_STANDSTILL):
                 await anyio.lowlevel.checkpoint()
             alarm = self.reducer.alarms.due()
             if alarm is not None:
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -2,20 +2,20 @@
 
 Inputs are a kind and its values:
 
-    opened connection | task connection seq Task word body | probe connection seq inner
+    opened connection | task connection seq Task word body | check connection seq deep
     malformed connection seq method text | drained connection | ended connection why
-    greeting fresh age | outcome number id how took result | sampled tag values | exercised tag good
-    refusal command id | remark number | unknown text | unlinked why
+    agent_up fresh age | run_over number id how took result | measured tag values | deep_checked tag good
+    declined what id | remark number | unknown text | agent_lost why
     listening | leave by | round
 
 Effects are plain tuples:
 
-    (read connection) (close connection) (farewell connection) (deaf)
+    (read connection) (close connection) (dismiss connection) (deaf)
     (finished connection seq result level) (abandoned connection seq level)
     (rejected connection seq nowhere_else stay_away level)
-    (health connection seq good level) (exception connection seq method text)
-    (launch id stage body) (freeze id) (sample tag) (exercise tag)
-    (accepting flag) (log event facts) (end)
+    (health connection seq good level) (misunderstood connection seq method text)
+    (start id stage body) (stop id) (measure tag) (deep_check tag)
+    (report taking) (log event facts) (end)
 
 The module is called once a round with all that came in; `Reducer` is the writer that its decisions go to.
 """
@@ -32,10 +32,15 @@
 SECOND = 1_000_000_000
 OPEN_BOUND = 32  # tasks in hand on a connection; past it the connection is not read
 SWEEP = SECOND // 4  # how often connections and entries are looked through
-FAREWELL_SPAN = SECOND // 5  # after a farewell, a connection with nothing open is closed
+DISMISSAL_SPAN = SECOND // 5  # after that a dismissed connection with nothing open is closed
 END_EARLY = SECOND // 10  # before the stop
-EXERCISES_BOUND = 64
+DEEP_CHECKS_BOUND = 64
 
+INPUTS = (
+    *("opened", "task", "check", "malformed", "drained", "ended"),
+    *("agent_up", "run_over", "measured", "deep_checked", "declined", "remark", "unknown", "agent_lost"),
+    *("listening", "leave", "round"),
+)
 Effect = tuple[Any, ...]
 
 
@@ -68,38 +73,17 @@
         # the agent
         self.linked = self.greeted = False
         self.notice = 0  # number of the last one read
-        self.samples = 0  # asked for so far; a tag is the number of its sample
+        self.measures = 0  # asked for so far; a tag is the number of its measure
         self.answered = 0  # number of the last one answered
-        self.mark: int | None = None  # the sample after which all missed notices were read
-        self.exercises: dict[str, tuple[int, int]] = {}
+        self.mark: int | None = None  # the measure after which all missed notices were read
+        self.deep_checks: dict[str, tuple[int, int]] = {}
         # what the module has said
         self.good, self.from_store = True, True
         self.level: float | None = None
         self.idle_span = 0
         self.stop_by: int | None = None
         self.figures: dict[str, int] = {}
-        self.does: dict[str, Callable[..., None]] = {
-            kind: getattr(self, f"_{kind}")
-            for kind in [
-                "opened",
-                "task",
-                "probe",
-                "malformed",
-                "drained",
-                "ended",
-                "listening",
-                "greeting",
-                "outcome",
-                "sampled",
-                "exercised",
-                "refusal",
-                "remark",
-                "unknown",
-                "unlinked",
-                "leave",
-                "round",
-            ]
-        }
+        self.does: dict[str, Callable[..., None]] = {kind: getattr(self, f"_{kind}") for kind in INPUTS}
         self.module = Policy(bench, seed, now)
         self._call_module()
 
@@ -129,7 +113,7 @@
         if names:
             self.ringing += names
             if self.linked and self.mark is None:
-                self._sample()
+                self._measure()
                 self.ring_by = self.now + self.granularity
             else:
                 self.ring_by = self.now
@@ -155,9 +139,9 @@
         self.came_in += [("bell", name, gauges) for name in self.ringing]
         self.ringing = []
 
-    def _sample(self) -> None:
-        self.samples += 1
-        self.effects.append(("sample", str(self.samples)))
+    def _measure(self) -> None:
+        self.measures += 1
+        self.effects.append(("measure", str(self.measures)))
 
     def _log(self, event: str, **facts: Any) -> None:
         self.effects.append(("log", event, facts))
@@ -178,9 +162,9 @@
         self._log("phase", phase=self.phases.name, held=len(self.tries), runs=len(self.runs))
         self.stop_by = by
         self.came_in.append(("leave", by))
-        self.effects += [("accepting", False), ("deaf",)]
+        self.effects += [("report", False), ("deaf",)]
         for name, connection in self.connections.items():
-            self._farewell(name, connection)
+            self._dismiss(name, connection)
 
     def _end_if_done(self) -> None:
         """Ends once nothing is owed and no connection is left, or just before the stop."""
@@ -201,7 +185,7 @@
         self._count("connections")
         self.effects.append(("read", name))
         if self.phases.over:
-            self._farewell(name, connection)
+            self._dismiss(name, connection)
         if len(self.connections) > self.connections_bound:
             # Guards the descriptors: the one that has carried nothing for longest gives way.
             idle = [other for other, told in self.connections.items() if not told.open]
@@ -239,10 +223,10 @@
         self.effects.append(("close", name))
         self._ended(name, "")
 
-    def _farewell(self, name: int, connection: Connection) -> None:
-        if connection.farewell is None:
-            connection.farewell = self.now
-            self.effects.append(("farewell", name))
+    def _dismiss(self, name: int, connection: Connection) -> None:
+        if connection.dismissed is None:
+            connection.dismissed = self.now
+            self.effects.append(("dismiss", name))
 
     def _sweep(self) -> None:
         self.next_sweep = self.now + SWEEP
@@ -250,10 +234,10 @@
             if connection.open:
                 continue
             idle = self.now - connection.carried
-            if connection.farewell is not None and self.now - connection.farewell >= FAREWELL_SPAN <= idle:
+            if connection.dismissed is not None and self.now - connection.dismissed >= DISMISSAL_SPAN <= idle:
                 self._close(name)
             elif self.idle_span and idle >= self.idle_span:
-                self._farewell(name, connection)
+                self._dismiss(name, connection)
         self.entries.expire(self.now - self.entry_slack, self.runs)
 
     # ---- tasks
@@ -263,7 +247,7 @@
         if connection is None:
             return
         if task.id in self.tries or task.id in self.runs:
-            self.effects.append(("exception", name, seq, b"process", "this try is in hand already"))
+            self.effects.append(("misunderstood", name, seq, b"process", "this try is in hand already"))
             return
         self._count("tasks")
         key = None if word is None else (task.stage, word)
@@ -291,13 +275,13 @@
             return None
         return entry.task
 
-    def _probe(self, name: int, seq: int, inner: bool) -> None:
-        if inner and not self.from_store and self.linked and len(self.exercises) < EXERCISES_BOUND:
+    def _check(self, name: int, seq: int, deep: bool) -> None:
+        if deep and not self.from_store and self.linked and len(self.deep_checks) < DEEP_CHECKS_BOUND:
             tag = f"check-{name}-{seq}"
-            self.exercises[tag] = (name, seq)
-            self.effects.append(("exercise", tag))
+            self.deep_checks[tag] = (name, seq)
+            self.effects.append(("deep_check", tag))
             return
-        self._tell_health(name, seq, not inner or self.from_store or self.linked)
+        self._tell_health(name, seq, not deep or self.from_store or self.linked)
 
     def _tell_health(self, name: int, seq: int, good: bool) -> None:
         self.effects.append(("health", name, seq, self.good and self.greeted and good, self.level))
@@ -309,7 +293,7 @@
         if seq is None:
             self._close(name)
         else:
-            self.effects.append(("exception", name, seq, method, text))
+            self.effects.append(("misunderstood", name, seq, method, text))
 
     def _answered(self, task: str) -> Try | None:
         """The one place where a try stops being owed an answer: whoever gets it from here answers it."""
@@ -332,11 +316,11 @@
 
     # ---- the agent
 
-    def _greeting(self, fresh: bool, age: int) -> None:
+    def _agent_up(self, fresh: bool, age: int) -> None:
         self.linked = True
         self._log("agent", state="up", fresh=fresh, age_ms=age // 1_000_000, notice=self.notice)
-        self._sample()
-        self.mark = self.samples
+        self._measure()
+        self.mark = self.measures
         if self.greeted:
             return
         self.greeted = True
@@ -350,14 +334,14 @@
             self.module = Policy(self.bench, self.seed, self.now - age)
             self._call_module()
 
-    def _unlinked(self, why: str) -> None:
+    def _agent_lost(self, why: str) -> None:
         if self.linked:
             self._log("agent", state="lost", why=why, runs=len(self.runs))
         self.linked, self.mark = False, None
-        for name, seq in self.exercises.values():
+        for name, seq in self.deep_checks.values():
             if name in self.connections:
                 self._tell_health(name, seq, False)
-        self.exercises.clear()
+        self.deep_checks.clear()
 
     def _seen(self, number: int) -> bool:
         """Whether a notice came before: after a link's end some come twice."""
@@ -366,11 +350,11 @@
         self.notice = number
         return False
 
-    def _outcome(self, number: int, task: str, how: str, took: int, result: memoryview) -> None:
+    def _run_over(self, number: int, task: str, how: str, took: int, result: memoryview) -> None:
         if not self._seen(number):
-            self._run_over(task, how, took, result)
+            self._ended_run(task, how, took, result)
 
-    def _run_over(self, task: str, how: str, took: int, result: bytes | memoryview) -> None:
+    def _ended_run(self, task: str, how: str, took: int, result: bytes | memoryview) -> None:
         run = self.runs.pop(task, None)
         if run is None:
             return
@@ -394,42 +378,42 @@
             self.abandon(task)
             self.came_in.append(("over", task, "failed", 0))
 
-    def _sampled(self, tag: str, values: list[float]) -> None:
+    def _measured(self, tag: str, values: list[float]) -> None:
         number = int(tag) if tag.isdecimal() else 0
         if number <= self.answered:
             return
         if self.mark is not None and number >= self.mark:
-            self._relaunch(self.mark)
+            self._restart(self.mark)
             self.mark = None
         self.answered = number
-        if self.ringing and number == self.samples:
+        if self.ringing and number == self.measures:
             self._ring(dict(zip(self.gauges, values, strict=False)))
 
-    def _relaunch(self, mark: int) -> None:
-        """All notices missed were read: what was launched before the mark, ended in none of them and was not
-        known to have arrived is launched again. One that is known to have arrived is left: it runs, and a
-        second launch that crosses its end would run it twice."""
+    def _restart(self, mark: int) -> None:
+        """All notices missed were read: what was started before the mark, ended in none of them and was not
+        known to have arrived is started again. One that is known to have arrived is left: it runs, and a
+        second start that crosses its end would run it twice."""
         for task, run in list(self.runs.items()):
-            if self.answered <= run.samples < mark:
+            if self.answered <= run.measures < mark:
                 self._send(task, run)
                 if run.frozen:
-                    self.effects.append(("freeze", task))
+                    self.effects.append(("stop", task))
 
     def _send(self, task: str, run: Run) -> None:
-        run.sent, run.samples = True, self.samples
-        self.effects.append(("launch", task, self.bench.stages[run.stage].name, run.body))
+        run.sent, run.measures = True, self.measures
+        self.effects.append(("start", task, self.bench.stages[run.stage].name, run.body))
 
-    def _exercised(self, tag: str, good: bool) -> None:
-        asked = self.exercises.pop(tag, None)
+    def _deep_checked(self, tag: str, good: bool) -> None:
+        asked = self.deep_checks.pop(tag, None)
         if asked is not None and asked[0] in self.connections:
             self._tell_health(*asked, good)
 
-    def _refusal(self, command: str, task: str) -> None:
-        self._log("refusal", command=command, id=task)
-        if command == "launch":
-            self._run_over(task, "moot", 0, b"")
-        elif command == "exercise":
-            self._exercised(task, True)  # such checks are not made here: the state alone tells
+    def _declined(self, what: str, task: str) -> None:
+        self._log("declined", what=what, id=task)
+        if what == "start":
+            self._ended_run(task, "moot", 0, b"")
+        elif what == "deep_check":
+            self._deep_checked(task, True)  # such checks are not made here: the state alone tells
 
     def _remark(self, number: int) -> None:
         self._seen(number)
@@ -444,7 +428,7 @@
         if held is None:
             self.came_in.append(("over", task, "moot", 0))
             return
-        run = self.runs[task] = Run(held, self.samples)
+        run = self.runs[task] = Run(held, self.measures)
         if held.key is not None and self.bench.stages[held.stage].effect == "fingerprinted":
             window = held.since + self.bench.stages[held.stage].window
             entry = self.entries.by_key.get(held.key) or self.entries.put(held.key, task, window)
@@ -458,10 +442,9 @@
             return
         run.frozen = True
         if not run.sent:
-            del self.runs[task]
-            self.came_in.append(("over", task, "stopped", 0))
+            self._ended_run(task, "stopped", 0, b"")
         elif self.linked:
-            self.effects.append(("freeze", task))
+            self.effects.append(("stop", task))
 
     def reject(self, task: str, nowhere_else: bool, stay_away: int) -> None:
         held = self._answered(task)
--- a/thistleline/memory/tables.py
+++ b/thistleline/memory/tables.py
@@ -8,12 +8,12 @@
 
 
 class Connection:
-    __slots__ = ("carried", "farewell", "open", "stalled")
+    __slots__ = ("carried", "dismissed", "open", "stalled")
 
     def __init__(self, now: int) -> None:
         self.open: dict[str, None] = {}  # tries that are owed an answer here
         self.carried = now  # when it last carried anything
-        self.farewell: int | None = None  # when it was told that nothing new is wanted
+        self.dismissed: int | None = None  # when it was told that nothing new is wanted
         self.stalled = False  # not read until something on it was answered
 
 
@@ -34,11 +34,11 @@
 class Run:
     """A run at the agent, whether or not its task is still owed an answer."""
 
-    __slots__ = ("body", "frozen", "key", "samples", "sent", "stage", "waiting")
+    __slots__ = ("body", "frozen", "key", "measures", "sent", "stage", "waiting")
 
-    def __init__(self, held: Try, samples: int) -> None:
+    def __init__(self, held: Try, measures: int) -> None:
         self.stage, self.body, self.key = held.stage, held.body, held.key
-        self.samples = samples  # how many were asked for before it was launched
+        self.measures = measures  # how many were asked for before it was started
         self.sent = False
         self.frozen = False
         self.waiting: list[str] = []  # repeats that get its answer
--- a/thistleline/wire/agent.py
+++ b/thistleline/wire/agent.py
@@ -2,11 +2,11 @@
 
 `notices` yields a plain tuple a notice:
 
-    ("greeting", fresh, age)
-    ("outcome", number, id, how, took, result)      how: HOW_RUNS_END
-    ("sampled", tag, values)
-    ("exercised", tag, good)
-    ("refusal", command, id)
+    ("agent_up", fresh, age)
+    ("run_over", number, id, how, took, result)      how: HOW_RUNS_END
+    ("measured", tag, values)
+    ("deep_checked", tag, good)
+    ("declined", what, id)
     ("remark", number)
     ("unknown", text)
 """
@@ -19,6 +19,7 @@
 
 LINE_BOUND, RESULT_BOUND = 4096, 64 * 1024
 BUFFER_BOUND = 2 * (LINE_BOUND + RESULT_BOUND)
+COMMANDS = {"launch": "start", "freeze": "stop", "sample": "measure", "exercise": "deep_check"}
 RUN_ENDS = {"good": "finished", "bad": "failed", "cut": "stopped", "gone": "moot"}
 
 
@@ -53,7 +54,7 @@
         match words:
             case ["outcome", number, name, end, took, _]:
                 return (
-                    "outcome",
+                    "run_over",
                     int(number),
                     name,
                     RUN_ENDS.get(end, "failed"),
@@ -61,13 +62,13 @@
                     result,
                 )
             case ["sampled", tag, *values]:
-                return ("sampled", tag, [float(value) for value in values])
+                return ("measured", tag, [float(value) for value in values])
             case ["greeting", state, age]:
-                return ("greeting", {"new": True, "old": False}[state], nanos(age) // 1000)
+                return ("agent_up", {"new": True, "old": False}[state], nanos(age) // 1000)
             case ["exercised", tag, end]:
-                return ("exercised", tag, end == "good")
+                return ("deep_checked", tag, end == "good")
             case ["refusal", command, name, *_]:
-                return ("refusal", command, name)
+                return ("declined", COMMANDS.get(command, command), name)
             case ["aside", number, *_]:
                 return ("remark", int(number))
     except (ValueError, KeyError, Malformed):
@@ -80,17 +81,17 @@
     return b"subscribe %d\r\n" % number
 
 
-def launch(name: str, stage: str, body: bytes) -> bytes:
+def start(name: str, stage: str, body: bytes) -> bytes:
     return b"launch %s %s %d\r\n%s\r\n" % (name.encode(), stage.encode(), len(body), body)
 
 
-def freeze(name: str) -> bytes:
+def stop(name: str) -> bytes:
     return b"freeze %s\r\n" % name.encode()
 
 
-def sample(tag: str) -> bytes:
+def measure(tag: str) -> bytes:
     return b"sample %s\r\n" % tag.encode()
 
 
-def exercise(tag: str) -> bytes:
+def deep_check(tag: str) -> bytes:
     return b"exercise %s\r\n" % tag.encode()
--- a/thistleline/wire/announce.py
+++ b/thistleline/wire/announce.py
@@ -11,8 +11,8 @@
         self.http = h11.Connection(h11.CLIENT)
         self.status = 0
 
-    def report(self, name: str, accepting: bool) -> bytes:
-        body = b'{"accepting":"%s"}' % (b"true" if accepting else b"false")
+    def report(self, name: str, taking: bool) -> bytes:
+        body = b'{"accepting":"%s"}' % (b"true" if taking else b"false")
         head = h11.Request(
             method="PUT",
             target=f"/announce/{name}",
--- a/thistleline/wire/bench.py
+++ b/thistleline/wire/bench.py
@@ -10,6 +10,8 @@
 SAYS = {"none": "none", "threshold": "threshold", "window": "window", "share_of": "share"}
 GAUGES = {"core_use": "core_use", "on_cores": "on_cores", "heap_share": "memory_use", "links": "connections"}
 
+TIME_BOUND = 1 << 40  # seconds; guards against exponents whose digits would fill the memory
+
 
 class Malformed(Exception):
     """A line that the wire does not allow."""
@@ -21,7 +23,10 @@
     if whole.isdigit() and (part.isdigit() or not part):
         return int(whole) * 1_000_000_000 + int((part + "000000000")[:9])
     try:
-        return int(Decimal(text) * 1_000_000_000)
+        value = Decimal(text)
+        if not abs(value) < TIME_BOUND:
+            raise Malformed(f"{text[:40]!r} is not a time")
+        return int(value * 1_000_000_000)
     except (InvalidOperation, ValueError, OverflowError) as error:
         raise Malformed(f"{text!r} is not a time") from error
 
--- a/thistleline/wire/thrift.py
+++ b/thistleline/wire/thrift.py
@@ -3,8 +3,8 @@
 `Stubs.messages` yields a plain tuple a message:
 
     ("task", seq, Task, word, body)     word: the mark or subject by which repeats are known, or None
-    ("probe", seq, inner)
-    ("malformed", seq, method, text)    to be answered by `exception`; nothing can where seq is None
+    ("check", seq, deep)
+    ("malformed", seq, method, text)    to be answered by `misunderstood`; nothing can where seq is None
 """
 
 from collections.abc import Iterator
@@ -146,13 +146,13 @@
         if method == "process":
             return self._task(reader, seq)
         if method == "probe":
-            inner = False
+            deep = False
             while field := reader.byte():
                 if (field, reader.i16()) == (BOOL, 1):
-                    inner = bool(reader.byte())
+                    deep = bool(reader.byte())
                 else:
                     reader.pass_over(field)
-            return ("probe", seq, inner)
+            return ("check", seq, deep)
         if kind == ONEWAY:
             return ()
         raise Malformed(f"method {method[:NAME_BOUND]!r} is unknown")
@@ -267,11 +267,11 @@
     return _message(REPLY, b"process", seq, _field(STRUCT, 2) + _words(1, _level(level)) + b"\0\0")
 
 
-def exception(seq: int, method: bytes, text: str) -> bytes:
+def misunderstood(seq: int, method: bytes, text: str) -> bytes:
     kind = UNKNOWN_METHOD if text.startswith("method ") else PROTOCOL_ERROR
     content = _field(STRING, 1) + _binary(text.encode()) + _field(I32, 2) + _length(kind) + b"\0"
     return _message(EXCEPTION, method, seq, content)
 
 
-def farewell() -> bytes:
+def dismiss() -> bytes:
     return _message(ONEWAY, b"farewell", 0, b"\0")
