Connections and kept results are bounded by the memory limit, read buffers by the largest frame

Observed: the bound on kept results was 24 MiB whatever the limit, and each connection's buffer 32 KiB, so 1,000 of them under a limit of 48 MB would have been too much. Measured at 900 open connections, half of them in the middle of a frame: 18.5 KB each before the change of the frame bound (16 to 8 KiB), 25 MB to 42 MB in all. Results now take an eighth of the limit, connections a quarter.

--- a/tests/host.py
+++ b/tests/host.py
@@ -146,11 +146,20 @@
 class Desk:
     """A reducer with a clock of its own, an agent that answers samples, and all effects in order."""
 
-    def __init__(self, *, up: bool = True, connections: int = 8, **changes: Any) -> None:
+    def __init__(
+        self, *, up: bool = True, connections: int = 8, results_bound: int = 1 << 20, **changes: Any
+    ) -> None:
         self.now = 1000 * SECOND
         self.phases = Phases()
         self.reducer = Reducer(
-            bench(**changes), ("core_use", "on_cores"), 5 * MS, connections, 7, self.now, self.phases
+            bench(**changes),
+            ("core_use", "on_cores"),
+            5 * MS,
+            connections,
+            results_bound,
+            7,
+            self.now,
+            self.phases,
         )
         self.effects: list[tuple[Any, ...]] = []
         self.answers_samples = True
@@ -252,6 +261,9 @@
 }
 
 
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
+
+
 class Listener:
     """A stand-in's listening socket on a free port; what it hears lies in `heard`."""
 
@@ -360,7 +372,7 @@
             "announce": announce.address,
             "seed": "8c1f",
             "stop_ms": 3000,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "limits": LIMITS,
             "settings": SETTINGS,
         }
         path = folder / "config.json"
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -6,7 +6,6 @@
 
 from tests.host import BOOKING, LOOKUP, Desk, task
 from thistleline.memory import reducer as memory
-from thistleline.memory import tables
 from thistleline.memory.reducer import OPEN_BOUND
 from thistleline.policy import MS, SECOND
 
@@ -148,9 +147,8 @@
     assert desk.answers() == ["abandoned", "abandoned"]
 
 
-def test_results_are_bounded_and_their_effects_stay_known(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(tables, "RESULTS_BOUND", 30)
-    desk = Desk()
+def test_results_are_bounded_and_their_effects_stay_known() -> None:
+    desk = Desk(results_bound=30)
     for place in range(4):
         name = desk.send(1, f"mark{place}")
         desk.wait()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,6 +13,7 @@
 from thrift.Thrift import TMessageType
 
 from tests.host import (
+    LIMITS,
     PATIENCE,
     SETTINGS,
     FakeAgent,
@@ -252,7 +253,7 @@
 
 
 def test_more_connections_than_descriptors_live_on(halls: Any) -> None:
-    hall = halls(limits={"sockets": 64})
+    hall = halls(limits={**LIMITS, "sockets": 64})
     hall.up()
     links = [hall.instance.connect() for _ in range(80)]
     for link in reversed(links):
--- a/thistleline/life/plate.py
+++ b/thistleline/life/plate.py
@@ -23,6 +23,7 @@
     seed: int
     stop_span: int  # from the notice to leave to the stop
     descriptors: int
+    memory: int  # bytes that the program may take
     bench: Bench
     gauges: tuple[str, ...]
     granularity: int
@@ -58,6 +59,7 @@
             seed=int(str(told["seed"]), 16),
             stop_span=int(told["stop_ms"]) * 1_000_000,
             descriptors=min(int(told["limits"]["sockets"]), os.sysconf("SC_OPEN_MAX")),
+            memory=int(float(told["limits"]["memory_mb"]) * 1024 * 1024),
             bench=read_bench(settings),
             gauges=read_gauges(settings),
             granularity=read_granularity(settings),
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -24,6 +24,7 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000
 RESERVE = 24  # descriptors that are no client stub's: listener, links, log, the loop's own
+CONNECTION_COST = 32 * 1024  # bytes of an open connection, measured at 900 of them
 FIGURES_EVERY = 5.0
 READ_FIRST = 3  # turns of the loop in which all that lies unread comes in, before the clock is heeded
 STANDSTILL, READ_FIRST_AFTER_STANDSTILL = 100 * MS, 12
@@ -39,7 +40,8 @@
             plate.bench,
             plate.gauges,
             plate.granularity,
-            max(1, plate.descriptors - RESERVE),
+            max(1, min(plate.descriptors - RESERVE, plate.memory // 4 // CONNECTION_COST)),
+            plate.memory // 8,
             plate.seed,
             self.clock.now(),
             self.phases,
@@ -125,6 +127,7 @@
             begun = self.clock.now()
             self.take("round")
             self.longest = max(self.longest, self.clock.now() - begun)
+            turns = 1
             if self.read_at and not self.reducer.came_in:
                 self.delay, self.read_at = max(self.delay, self.clock.now() - self.read_at), 0
 
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -51,6 +51,7 @@
         gauges: tuple[str, ...],
         granularity: int,
         connections: int,
+        results_bound: int,
         seed: int,
         now: int,
         phases: Phases,
@@ -65,7 +66,7 @@
         self.connections: dict[int, Connection] = {}
         self.tries: dict[str, Try] = {}
         self.runs: dict[str, Run] = {}
-        self.entries = Entries()
+        self.entries = Entries(results_bound)
         self.this_round: dict[Key, str] = {}  # marked tasks that the module has not seen yet
         self.alarms = Alarms()
         self.ringing: list[str] = []  # alarms that wait for their gauges,
--- a/thistleline/memory/tables.py
+++ b/thistleline/memory/tables.py
@@ -4,7 +4,6 @@
 from heapq import heappop, heappush
 
 Key = tuple[int, str]  # stage, and the mark or subject by which repeats are known
-RESULTS_BOUND = 24 * 1024 * 1024  # bytes of kept results; past it the oldest go
 
 
 class Connection:
@@ -58,7 +57,8 @@
 
 
 class Entries:
-    def __init__(self) -> None:
+    def __init__(self, results_bound: int) -> None:
+        self.results_bound = results_bound  # bytes of kept results; past it the oldest go
         self.by_key: dict[Key, Entry] = {}
         self.by_task: dict[str, Key] = {}
         self.results: OrderedDict[Key, int] = OrderedDict()  # bytes by key, oldest first
@@ -89,7 +89,7 @@
             entry.result = result
             self.results[key] = len(result)
             self.size += len(result)
-            while self.size > RESULTS_BOUND:
+            while self.size > self.results_bound:
                 self._drop_result(next(iter(self.results)))
 
     def expire(self, before: int, runs: dict[str, Run]) -> None:
--- a/thistleline/wire/thrift.py
+++ b/thistleline/wire/thrift.py
@@ -21,8 +21,8 @@
 FIXED = {BOOL: 1, BYTE: 1, DOUBLE: 8, I16: 2, I32: 4, I64: 8}
 UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7
 
-FRAME_BOUND = 16 * 1024  # a task with the largest body takes under 4 KiB
-BUFFER_BOUND = 2 * FRAME_BOUND
+FRAME_BOUND = 8 * 1024  # a task with the largest body takes under 4 KiB
+BUFFER_BOUND = FRAME_BOUND + 4 * 1024
 BODY_BOUND, FIELDS_BOUND, NAME_BOUND, DEPTH_BOUND = 2048, 64, 64, 16
 DIGITS_BOUND, WORK_BOUND = 16, 1e9  # of a number; milliseconds
 PASSED_OVER_BOUND = 1 << 24  # a longer frame is taken for noise
