Two repeats read with a third that is let go run once; stalled readers end with their connection

Found by reading the code over. memory/reducer.py `_ended` forgot the mark of a key when the last of several tries read in one round was let go, though an earlier one still stood in that round: a further try in the same round was then told to the module as new, and both would have run. The marks are now worked out from what still stands in the round. life/streams.py `read`: a reader that waited to be asked stayed for ever once its full connection was closed here. A flood of connections is accepted 64 at a time. The figures line survives a machine without descriptors.

--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -183,6 +183,15 @@
     assert desk.launched() == [other]
 
 
+def test_tries_read_at_once_run_once_though_one_of_them_is_let_go() -> None:
+    desk = Desk(cores=8)
+    first, _ = desk.send(1, "mark"), desk.send(2, "mark", again=True)
+    desk.put("ended", 2, "reset")
+    desk.send(3, "mark", again=True)
+    desk.wait()
+    assert desk.launched() == [first]
+
+
 def test_reads_of_one_subject_share_a_run_while_it_is_fresh() -> None:
     desk = Desk(answer_fresh_for=2 * SECOND)
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+import anyio
 import pytest
 from thrift.Thrift import TMessageType
 
@@ -27,6 +28,7 @@
     start,
     words,
 )
+from thistleline.life.streams import Stream
 
 
 @dataclass
@@ -294,6 +296,26 @@
         assert set(answered(next(frames(link)))[3]) == {0}
 
 
+def test_a_reader_that_nobody_asks_ends_with_its_stream() -> None:
+    """Guards against tasks that stay for ever when a full connection is closed."""
+
+    async def story() -> None:
+        ours, theirs = socket.socketpair()
+        with theirs, anyio.fail_after(PATIENCE):
+            async with anyio.create_task_group() as group:
+                stream = Stream(ours, group, 64, 64)
+
+                async def read() -> None:
+                    with pytest.raises(anyio.ClosedResourceError):
+                        await stream.read()
+
+                group.start_soon(read)
+                await anyio.wait_all_tasks_blocked()
+                stream.close()
+
+    anyio.run(story)
+
+
 @pytest.mark.parametrize("config", [None, "no file", "{", '{"settings": 1}'])
 def test_a_start_without_a_plate_ends_with_a_plain_line(tmp_path: Path, config: str | None) -> None:
     path = tmp_path / "config.json"
--- a/thistleline/life/front.py
+++ b/thistleline/life/front.py
@@ -14,6 +14,7 @@
 
 WRITE_BOUND = 256 * 1024  # a full connection's answers take under 140 KiB
 BACKLOG = 1024
+ACCEPTED_AT_ONCE = 64
 PAUSE = 0.05
 
 
@@ -38,24 +39,26 @@
         while (listener := self.listener) is not None:
             try:
                 await anyio.wait_readable(listener)
-                self._accept_all(listener)
+                self._accept_some(listener)
             except anyio.ClosedResourceError:
                 return
             except OSError:
                 await anyio.sleep(PAUSE)  # no descriptor or memory is to be had just now
 
-    def _accept_all(self, listener: socket.socket) -> None:
-        while True:
+    def _accept_some(self, listener: socket.socket) -> bool:
+        """Whether there may be more; guards the other tasks against a flood of connections."""
+        for _ in range(ACCEPTED_AT_ONCE):
             try:
                 sock, _ = listener.accept()
             except (BlockingIOError, ConnectionAbortedError):
-                return
+                return False
             self.count += 1
             stream = Stream(sock, self.group, thrift.BUFFER_BOUND, WRITE_BOUND)
             self.streams[self.count] = stream
             self.take("opened", self.count)
             if not stream.closed:
                 self.group.start_soon(self._serve, self.count, stream)
+        return True
 
     async def _serve(self, name: int, stream: Stream) -> None:
         """Reads one connection to its end; whatever happens here ends nothing else."""
@@ -137,6 +140,7 @@
         listener, self.listener = self.listener, None
         if listener is not None:
             with suppress(OSError):
-                self._accept_all(listener)
+                while self._accept_some(listener):
+                    pass
             anyio.notify_closing(listener)
             listener.close()
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -142,7 +142,7 @@
                 runs=len(self.reducer.runs),
                 entries=len(self.reducer.entries.by_key),
                 open=len(self.reducer.connections),
-                descriptors=len(os.listdir("/proc/self/fd")),
+                descriptors=_descriptors(),
                 cpu_ms=int((usage.ru_utime + usage.ru_stime) * 1000),
                 peak_kb=usage.ru_maxrss,
                 late_us=self.late // 1000,
@@ -156,3 +156,10 @@
 
     def told(self, event: str, facts: dict[str, Any]) -> None:
         self.log.event(self.clock.now(), event, facts)
+
+
+def _descriptors() -> int | None:
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1
+    except OSError:
+        return None
--- a/thistleline/life/streams.py
+++ b/thistleline/life/streams.py
@@ -30,11 +30,14 @@
             self.asking.set()
 
     async def read(self) -> int:
-        """Waits until reading is asked for and something came; 0 at the end of the stream."""
-        while not self.asked:
+        """Waits until reading is asked for and something came; 0 at the end of the stream. Raises OSError, or
+        ClosedResourceError once it is closed here."""
+        while not self.asked and not self.closed:
             self.asking = anyio.Event()
             await self.asking.wait()
             self.asking = None
+        if self.closed:
+            raise anyio.ClosedResourceError
         self.asked = False
         while True:
             await anyio.wait_readable(self.sock)
@@ -82,6 +85,8 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
+            if self.asking is not None:
+                self.asking.set()  # guards against a reader that nobody asks any more
             anyio.notify_closing(self.sock)
             self.sock.close()
 
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -214,11 +214,14 @@
                 self.came_in.append(("gone", task))
             else:
                 unseen.add(task)
-                if held.key is not None and self.this_round.get(held.key) == task:
-                    del self.this_round[held.key]
         if unseen:
             # The module takes all that is gone before it reads; guards against starting what nobody awaits.
             self.came_in = [item for item in self.came_in if item[0] != "task" or item[1].id not in unseen]
+            # Another try of the same effect may stand among the rest; guards against running both.
+            self.this_round = {key: task for key, task in self.this_round.items() if task not in unseen}
+            for item in self.came_in:
+                if item[0] == "task":
+                    self._note_mark(item[1].id)
 
     def _close(self, name: int) -> None:
         self.effects.append(("close", name))
@@ -255,14 +258,19 @@
         held = Try(name, seq, task.stage, min(task.reached, self.now), key, bytes(body))
         if key is not None:
             held.repeats = self._repeated(key, held.since)
-            if self.bench.stages[task.stage].effect == "fingerprinted":
-                self.this_round[key] = task.id
         if held.repeats is not None or task.reached != held.since:
             task = replace(task, repeats=held.repeats, reached=held.since)
         self.tries[task.id] = held
+        self._note_mark(task.id)
         connection.open[task.id] = None
         self.came_in.append(("task", task))
 
+    def _note_mark(self, task: str) -> None:
+        """Lets the other tries of one effect that come in before the next round know of this one."""
+        key = self.tries[task].key
+        if key is not None and self.bench.stages[key[0]].effect == "fingerprinted":
+            self.this_round[key] = task
+
     def _repeated(self, key: Key, since: int) -> str | None:
         """The task that one with this key repeats. What reached us in time counts, however late read."""
         entry = self.entries.by_key.get(key)
