--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -300,8 +300,10 @@
     """Guards against tasks that stay for ever when a full connection is closed."""
 
     async def story() -> None:
-        ours, theirs = socket.socketpair()
-        with theirs, anyio.fail_after(PATIENCE):
+        listener = socket.create_server(("127.0.0.1", 0))
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+        with listener, theirs, anyio.fail_after(PATIENCE):
             async with anyio.create_task_group() as group:
                 stream = Stream(ours, group, 64, 64)
 
