A slow announce service's answers count: two seconds of patience, reports still one a second

Observed: life/announcer.py gave a report one second, its connection included, then closed; a service that takes longer for every answer would never have counted one, and the server would have lapsed from the list after three. Stories now tell a service that refuses, closes early and is slow.

--- a/tests/host.py
+++ b/tests/host.py
@@ -341,9 +341,9 @@
 
 
 class FakeAnnounce(Listener):
-    """Takes reports; `status` is what it answers."""
+    """Takes reports, or troubles whoever makes them."""
 
-    status = 204
+    trouble = ""
 
     def serve(self, link: socket.socket, source: Any) -> None:
         while line := source.readline():
@@ -352,7 +352,11 @@
                 name, _, value = head.partition(b":")
                 length = int(value) if name.lower() == b"content-length" else length
             self.heard.put((line.split()[1].decode(), json.loads(source.read(length))))
-            link.sendall(b"HTTP/1.1 %d Told\r\nContent-Length: 0\r\n\r\n" % self.status)
+            if self.trouble == "closes early":
+                return
+            if self.trouble != "is slow":
+                status = b"503 Busy" if self.trouble else b"204 Told"
+                link.sendall(b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n")
 
 
 class Instance:
@@ -388,8 +392,9 @@
 
     def until(self, event: str, **facts: Any) -> dict[str, Any]:
         """Waits for a line of the log."""
+        due = time.monotonic() + PATIENCE
         while True:
-            line = self.lines.get(timeout=PATIENCE)
+            line = self.lines.get(timeout=max(0.0, due - time.monotonic()))
             if line["event"] == event and facts.items() <= line.items():
                 return line
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -182,14 +182,15 @@
         assert ask(link, probe(2, inner))[2][0][3] is True
 
 
-def test_reports_go_on_and_come_back_after_a_refusal(halls: Any) -> None:
-    FakeAnnounce.status = 503
+@pytest.mark.parametrize("trouble", ["refuses", "closes early", "is slow"])
+def test_reports_go_on_and_come_back_after_a_trouble(halls: Any, trouble: str) -> None:
+    FakeAnnounce.trouble = trouble
     try:
         hall = halls()
         assert hall.announce.hear() == ("/announce/n1", {"accepting": "true"})
         hall.instance.until("announce", state="down")
     finally:
-        FakeAnnounce.status = 204
+        FakeAnnounce.trouble = ""
     hall.instance.until("announce", state="up")
     assert hall.announce.hear() == ("/announce/n1", {"accepting": "true"})
 
--- a/thistleline/life/announcer.py
+++ b/thistleline/life/announcer.py
@@ -10,7 +10,7 @@
 from thistleline.wire.announce import Reports
 
 EVERY = 1.0  # an entry lapses three seconds after the last report
-PATIENCE = 1.0  # for a report, its connection included
+PATIENCE = 2.0  # for a report, its connection included; a slow service's answers must still count
 PAUSE = 0.25  # after one that failed
 ANSWER_BOUND = 16 * 1024
 
@@ -35,11 +35,11 @@
     async def keep_reporting(self) -> None:
         """Ends with the first report that nothing is accepted any more: the entry may lapse then."""
         while True:
-            taking = self.taking
+            taking, begun = self.taking, anyio.current_time()
             done = await self._report(taking)
             if done and not taking:
                 return
-            with anyio.move_on_after(EVERY if done else PAUSE):
+            with anyio.move_on_after(max(0.0, begun + EVERY - anyio.current_time()) if done else PAUSE):
                 await self.changed.wait()
             if self.changed.is_set():
                 self.changed = anyio.Event()
