Results on sockets; stories start the program on an address of their own process

Observed: of twelve runs of all stories side by side one failed: another run had taken the free port between its being found and the program's listening on it.

--- a/tests/host.py
+++ b/tests/host.py
@@ -261,6 +261,8 @@
 }
 
 
+# A loopback address of this process alone; guards against another that takes the free port between two calls.
+HOST = f"127.{64 + (os.getpid() >> 16)}.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
 
 
@@ -366,12 +368,12 @@
         self, folder: Path, agent: Listener, announce: Listener, port: int = 0, **changes: Any
     ) -> None:
         if not port:
-            with socket.create_server(("127.0.0.1", 0)) as free:
+            with socket.create_server((HOST, 0)) as free:
                 port = free.getsockname()[1]
         self.port = port
         told = {
             "name": "n1",
-            "listen": f"127.0.0.1:{port}",
+            "listen": f"{HOST}:{port}",
             "agent": agent.address,
             "announce": announce.address,
             "seed": "8c1f",
@@ -399,7 +401,7 @@
                 return line
 
     def connect(self) -> socket.socket:
-        return socket.create_connection(("127.0.0.1", self.port), timeout=PATIENCE)
+        return socket.create_connection((HOST, self.port), timeout=PATIENCE)
 
     def leave(self) -> int:
         self.process.send_signal(signal.SIGTERM)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,6 +14,7 @@
 from thrift.Thrift import TMessageType
 
 from tests.host import (
+    HOST,
     LIMITS,
     PATIENCE,
     SETTINGS,
@@ -330,7 +331,7 @@
 
 
 def test_an_address_that_is_taken_is_told(tmp_path: Path) -> None:
-    with socket.create_server(("127.0.0.1", 0)) as taken:
+    with socket.create_server((HOST, 0)) as taken:
         agent, announce = FakeAgent(), FakeAnnounce()
         instance = Instance(tmp_path, agent, announce, port=taken.getsockname()[1])
         assert instance.process.wait(PATIENCE) == 1
