--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -170,13 +170,10 @@
     def _end_if_done(self) -> None:
         """Ends once nothing is owed and no connection is left, or just before the stop."""
         assert self.stop_by is not None
-        if (
-            not self.tries and not self.connections and not self.came_in
-        ) or self.now >= self.stop_by - END_EARLY:
+        owed, left = len(self.tries), len(self.connections)
+        if not (owed or left or self.came_in) or self.now >= self.stop_by - END_EARLY:
             self.phases.move("ended")
-            self._log(
-                "phase", phase=self.phases.name, owed=len(self.tries), connections=len(self.connections)
-            )
+            self._log("phase", phase=self.phases.name, owed=owed, connections=left)
             self.effects.append(("end",))
 
     # ---- connections
@@ -251,7 +248,7 @@
         if connection is None:
             return
         if task.id in self.tries or task.id in self.runs:
-            self.effects.append(("misunderstood", name, seq, b"process", "this try is in hand already"))
+            self.effects.append(("misunderstood", name, seq, None, "this try is in hand already"))
             return
         self._count("tasks")
         key = None if word is None else (task.stage, word)
@@ -295,7 +292,7 @@
     def _tell_health(self, name: int, seq: int, good: bool) -> None:
         self.effects.append(("health", name, seq, self.good and self.greeted and good, self.level))
 
-    def _malformed(self, name: int, seq: int | None, method: bytes, text: str) -> None:
+    def _malformed(self, name: int, seq: int | None, method: bytes | None, text: str) -> None:
         if name not in self.connections:
             return
         self._log("malformed", connection=name, text=text)
--- a/thistleline/wire/thrift.py
+++ b/thistleline/wire/thrift.py
@@ -267,10 +267,10 @@
     return _message(REPLY, b"process", seq, _field(STRUCT, 2) + _words(1, _level(level)) + b"\0\0")
 
 
-def misunderstood(seq: int, method: bytes, text: str) -> bytes:
+def misunderstood(seq: int, method: bytes | None, text: str) -> bytes:
     kind = UNKNOWN_METHOD if text.startswith("method ") else PROTOCOL_ERROR
     content = _field(STRING, 1) + _binary(text.encode()) + _field(I32, 2) + _length(kind) + b"\0"
-    return _message(EXCEPTION, method, seq, content)
+    return _message(EXCEPTION, b"process" if method is None else method, seq, content)
 
 
 def dismiss() -> bytes:
