A deep check that the agent leaves unanswered for a second has failed

Found by reading: memory/reducer.py kept asked checks until the link ended, so an agent that answers none would have filled the 64 places for good.

--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -299,6 +299,9 @@
     assert desk.put("deep_checked", "check-1-2", True) == [("health", 1, 2, True, None)]
     desk.put("check", 1, 3, True)
     assert desk.put("agent_lost", "reset") == [("health", 1, 3, False, None)]
+    desk.put("agent_up", False, 0)
+    desk.put("check", 1, 4, True)
+    assert ("health", 1, 4, False) in [effect[:4] for effect in desk.wait(2 * SECOND)]
 
 
 # ---- connections
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -35,6 +35,7 @@
 DISMISSAL_SPAN = SECOND // 5  # after that a dismissed connection with nothing open is closed
 END_EARLY = SECOND // 10  # before the stop
 DEEP_CHECKS_BOUND = 64
+DEEP_CHECK_SPAN = SECOND  # a check that the agent leaves unanswered for so long has failed
 
 INPUTS = (
     *("opened", "task", "check", "malformed", "drained", "ended"),
@@ -77,7 +78,7 @@
         self.measures = 0  # asked for so far; a tag is the number of its measure
         self.answered = 0  # number of the last one answered
         self.mark: int | None = None  # the measure after which all missed notices were read
-        self.deep_checks: dict[str, tuple[int, int]] = {}
+        self.deep_checks: dict[str, tuple[int, int, int]] = {}  # connection, sequence number, asked when
         # what the module has said
         self.good, self.from_store = True, True
         self.level: float | None = None
@@ -239,6 +240,9 @@
                 self._close(name)
             elif self.idle_span and idle >= self.idle_span:
                 self._dismiss(name, connection)
+        for tag, (_, _, asked) in list(self.deep_checks.items()):
+            if self.now - asked >= DEEP_CHECK_SPAN:
+                self._deep_checked(tag, False)
         self.entries.expire(self.now - self.entry_slack, self.runs)
 
     # ---- tasks
@@ -284,7 +288,7 @@
     def _check(self, name: int, seq: int, deep: bool) -> None:
         if deep and not self.from_store and self.linked and len(self.deep_checks) < DEEP_CHECKS_BOUND:
             tag = f"check-{name}-{seq}"
-            self.deep_checks[tag] = (name, seq)
+            self.deep_checks[tag] = (name, seq, self.now)
             self.effects.append(("deep_check", tag))
             return
         self._tell_health(name, seq, not deep or self.from_store or self.linked)
@@ -344,10 +348,8 @@
         if self.linked:
             self._log("agent", state="lost", why=why, runs=len(self.runs))
         self.linked, self.mark = False, None
-        for name, seq in self.deep_checks.values():
-            if name in self.connections:
-                self._tell_health(name, seq, False)
-        self.deep_checks.clear()
+        for tag in list(self.deep_checks):
+            self._deep_checked(tag, False)
 
     def _seen(self, number: int) -> bool:
         """Whether a notice came before: after a link's end some come twice."""
@@ -412,7 +414,7 @@
     def _deep_checked(self, tag: str, good: bool) -> None:
         asked = self.deep_checks.pop(tag, None)
         if asked is not None and asked[0] in self.connections:
-            self._tell_health(*asked, good)
+            self._tell_health(asked[0], asked[1], good)
 
     def _declined(self, what: str, task: str) -> None:
         self._log("declined", what=what, id=task)
