An effect that fails is logged and stops no other

Found by reading: life/service.py guarded the reducer's inputs but not the carrying out of effects, so an unforeseen error there would have ended the task group and with it the program.

--- a/tests/host.py
+++ b/tests/host.py
@@ -266,6 +266,18 @@
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
 
 
+TOLD: dict[str, Any] = {
+    "name": "n3",
+    "listen": "127.0.0.4:9090",
+    "agent": "127.0.0.1:9300",
+    "announce": "127.0.0.2:8761",
+    "seed": "8c1f30d27a5be964",
+    "stop_ms": 3200,
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "more": 1},
+    "settings": SETTINGS,
+}
+
+
 class Listener:
     """A stand-in's listening socket on a free port; what it hears lies in `heard`."""
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,5 +1,6 @@
 """The program itself, started between stand-ins and spoken to over sockets. Waits on events."""
 
+import json
 import os
 import signal
 import socket
@@ -7,7 +8,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import anyio
 import pytest
@@ -18,6 +20,7 @@
     LIMITS,
     PATIENCE,
     SETTINGS,
+    TOLD,
     FakeAgent,
     FakeAnnounce,
     Instance,
@@ -29,6 +32,8 @@
     start,
     words,
 )
+from thistleline.life.plate import read_plate
+from thistleline.life.service import Service
 from thistleline.life.streams import Stream
 
 
@@ -320,6 +325,32 @@
     anyio.run(story)
 
 
+@pytest.mark.parametrize("where", ["input", "effect"])
+def test_an_error_in_one_input_or_effect_is_logged_and_ends_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, where: str
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(TOLD))
+    service = Service(read_plate({"ROUTER_CONFIG": str(path)}))
+    noted: list[str] = []
+    monkeypatch.setattr(service, "note", lambda event, **facts: noted.append(event))
+    service.front = cast(Any, SimpleNamespace(flush=list))
+    service.farm = cast(Any, SimpleNamespace(flush=list))
+    done: list[int] = []
+
+    def misunderstood(connection: int, *_: Any) -> None:
+        if where == "effect" and connection == 1:
+            raise ValueError("a story")
+        done.append(connection)
+
+    service.does = {"misunderstood": misunderstood, "log": lambda *_: None, "read": lambda *_: None}
+    for connection in (1, 2):
+        service.take("opened", connection)
+    service.take("malformed", 1, *((7, b"x", "text") if where == "effect" else ()))
+    service.take("malformed", 2, 7, b"x", "text")
+    assert (noted, done) == (["fault"], [2])
+
+
 @pytest.mark.parametrize("config", [None, "no file", "{", '{"settings": 1}'])
 def test_a_start_without_a_plate_ends_with_a_plain_line(tmp_path: Path, config: str | None) -> None:
     path = tmp_path / "config.json"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 import pytest
 from thrift.Thrift import TMessageType, TType
 
-from tests.host import SETTINGS, answered, asked, booking, probe, process, words
+from tests.host import SETTINGS, TOLD, answered, asked, booking, probe, process, words
 from thistleline.life.clock import Clock
 from thistleline.life.log import LINES_BOUND, Log
 from thistleline.life.plate import read_plate
@@ -210,18 +210,6 @@
 # ---- what is read at start, the clock and the log
 
 
-TOLD = {
-    "name": "n3",
-    "listen": "127.0.0.4:9090",
-    "agent": "127.0.0.1:9300",
-    "announce": "127.0.0.2:8761",
-    "seed": "8c1f30d27a5be964",
-    "stop_ms": 3200,
-    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "more": 1},
-    "settings": SETTINGS,
-}
-
-
 def test_the_plate_is_read(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(TOLD))
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -19,7 +19,7 @@
 from thistleline.life.log import Log
 from thistleline.life.phases import Phases
 from thistleline.life.plate import Plate
-from thistleline.memory.reducer import Reducer
+from thistleline.memory.reducer import Effect, Reducer
 from thistleline.wire.thrift import Stubs
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -89,12 +89,10 @@
     def take(self, kind: str, *told: Any) -> None:
         """One input into the reducer; its effects are carried out before anything else is read."""
         try:
-            effects = self.reducer.take(self.clock.now(), kind, *told)
+            for effect in self.reducer.take(self.clock.now(), kind, *told):
+                self._carry_out(effect)
         except Exception:
             self.note("fault", input=kind, trace=traceback.format_exc()[-2000:])
-            return
-        for effect in effects:
-            self.does[effect[0]](*effect[1:])
         if not self.busy:
             self.busy = True
             for name in self.front.flush():
@@ -105,6 +103,13 @@
         if self.reducer.due() < self.sleeps_until:
             self.woken.set()
 
+    def _carry_out(self, effect: Effect) -> None:
+        """Guards all other effects against one that fails."""
+        try:
+            self.does[effect[0]](*effect[1:])
+        except Exception:
+            self.note("fault", effect=effect[0], trace=traceback.format_exc()[-2000:])
+
     async def pump(self) -> None:
         """Rings for the reducer when it is due. All that lies unread by then is read first; where an input
         woke this task, all that came with it has been."""
