SIGHUP moves the links; a mark with another body is another task; what never ran is forgotten

Causes, each shown by a story that fails without the change: - SIGHUP had no handler, so its default ended the program (the exit code says so). Now the plate is read again; agent and announce service are moved at once, runs, notices and keys stay. One that can't be read changes nothing. - Reducer._task made the key of repeats from stage and mark alone, so a stranger's body under a known mark joined the run or got its result. The body's digest is part of the key now, a bound of 16 bytes an entry. - After the agent's refusal (or 'gone') the module's effect stayed 'ran' and its entry stayed in the table: rightful tries were abandoned for the whole window, and the modelled memory filled. Policy._over takes that back. - Reducer._restart told a stop again only along with a start. All stops are told again after a link's end. Ruled out for the bad client's 'finished': an id in hand already (it gets an exception) and ids that the agent does not know (refused by the agent).

--- a/tests/host.py
+++ b/tests/host.py
@@ -188,7 +188,7 @@
                 self.put("round")
         return [effect for effect in self.effects[before:] if effect[0] not in ("log", "read", "measure")]
 
-    def send(self, connection: int, word: str | None = None, **changes: Any) -> str:
+    def send(self, connection: int, word: str | None = None, body: bytes = b"body", **changes: Any) -> str:
         """A task comes in on a connection, which is opened if need be."""
         self.count += 1
         if connection not in self.reducer.connections:
@@ -196,7 +196,7 @@
         name = str(changes.pop("id", f"t{self.count}"))
         stage = 0 if word is None else 1
         sent = task(name, changes.pop("reached", self.now), stage=stage, **changes)
-        self.put("task", connection, self.count, sent, word, memoryview(b"body"))
+        self.put("task", connection, self.count, sent, word, memoryview(body))
         self.put("drained", connection)
         return name
 
@@ -393,9 +393,9 @@
             "limits": LIMITS,
             "settings": SETTINGS,
         }
-        path = folder / "config.json"
-        path.write_text(json.dumps(told | changes))
-        self.process = start({"ROUTER_CONFIG": str(path)})
+        self.told, self.path = told | changes, folder / "config.json"
+        self.path.write_text(json.dumps(self.told))
+        self.process = start({"ROUTER_CONFIG": str(self.path)})
         self.lines: queue.Queue[dict[str, Any]] = queue.Queue()
         threading.Thread(target=self._read_log, daemon=True).start()
 
@@ -415,6 +415,10 @@
     def connect(self) -> socket.socket:
         return socket.create_connection((HOST, self.port), timeout=PATIENCE)
 
+    def read_again(self, text: str) -> None:
+        self.path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     def leave(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(PATIENCE)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -147,6 +147,38 @@
     assert desk.answers() == ["abandoned", "abandoned"]
 
 
+def test_a_stranger_with_a_known_mark_gets_no_result_and_harms_no_rightful_try() -> None:
+    desk = Desk(cores=8)
+    name, strange = desk.send(1, "mark"), desk.send(2, "mark", b"another body", again=True)
+    desk.wait()
+    assert desk.launched() == [name, strange]
+    desk.put("declined", "start", strange)
+    desk.end(name)
+    desk.wait()
+    desk.send(3, "mark", again=True)
+    desk.send(2, "mark", b"another body", again=True)
+    desk.wait()
+    assert [effect[:2] for effect in desk.kinds("finished")] == [("finished", 1), ("finished", 3)]
+    assert desk.launched().count(name) == 1
+
+
+@pytest.mark.parametrize("how", ["declined", "moot"])
+def test_an_effect_that_never_ran_is_not_remembered(how: str) -> None:
+    """Guards the table of what ran against all that the agent does not know."""
+    desk = Desk()
+    name = desk.send(1, "mark")
+    desk.wait()
+    if how == "declined":
+        desk.put("declined", "start", name)
+    else:
+        desk.end(name, "moot")
+    desk.wait()
+    assert (desk.reducer.entries.by_key, desk.reducer.module.entries) == ({}, {})
+    again = desk.send(1, "mark", again=True)
+    desk.wait()
+    assert desk.launched() == [name, again]
+
+
 def test_results_are_bounded_and_their_effects_stay_known() -> None:
     desk = Desk(results_bound=30)
     for place in range(4):
@@ -237,6 +269,16 @@
     assert sorted(desk.launched()) == sorted([unsure, ended, away])
 
 
+def test_a_stop_lost_with_the_link_is_told_again() -> None:
+    desk = Desk()
+    name = desk.send(1)
+    desk.wait(LOOKUP.due_span + 100 * MS)
+    desk.put("agent_lost", "reset")
+    desk.effects.clear()
+    desk.put("agent_up", False, 61 * SECOND)
+    assert desk.kinds("start", "stop") == [("stop", name)]
+
+
 def test_the_replay_is_read_before_anything_is_launched_again() -> None:
     desk = Desk()
     desk.answers_samples = False
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -351,6 +351,38 @@
     assert (noted, done) == (["fault"], [2])
 
 
+def test_a_new_plate_moves_the_links_and_a_malformed_one_changes_nothing(hall: Hall) -> None:
+    agent, announce, instance = FakeAgent(), FakeAnnounce(), hall.instance
+    with instance.connect() as link:
+        link.sendall(process(1, booking(1, "mark")) + process(2, words(2)))
+        second, first = hall.agent.hear(), hall.agent.hear()
+        hall.agent.end(second[1], b"read")
+        source = frames(link)
+        assert answered(next(source))[2] == 2
+        for text in ("{", json.dumps(instance.told | {"agent": "nowhere"})):
+            instance.read_again(text)
+            instance.until("plate refused")
+        agent.kept = list(hall.agent.kept)
+        told = instance.told | {"agent": agent.address, "announce": announce.address, "seed": "1"}
+        instance.read_again(json.dumps(told))
+        assert instance.until("plate read")["needs_restart"] == ["seed"]
+        assert agent.hear() == ("subscribe", 1)
+        assert announce.hear() == ("/announce/n1", {"accepting": "true"})
+        agent.end(first[1], b"booked")
+        assert answered(next(source))[3][0][1] == b"booked"
+        link.sendall(process(3, words(3)))
+        while (launch := agent.hear())[1] != words(3)["ref"]:
+            assert launch[:2] == ("launch", first[1])  # not known to have arrived
+        agent.end(launch[1], b"read")
+        assert answered(next(source))[2] == 3
+    instance.process.send_signal(signal.SIGTERM)
+    instance.until("phase", phase="leaving")
+    instance.read_again(json.dumps(told))
+    assert instance.process.wait(PATIENCE) == 0
+    for stand_in in (agent, announce):
+        stand_in.close()
+
+
 @pytest.mark.parametrize("config", [None, "no file", "{", '{"settings": 1}'])
 def test_a_start_without_a_plate_ends_with_a_plain_line(tmp_path: Path, config: str | None) -> None:
     path = tmp_path / "config.json"
--- a/thistleline/__main__.py
+++ b/thistleline/__main__.py
@@ -10,6 +10,8 @@
         raise SystemExit(0)  # nothing listens yet, so nothing is owed
 
     signal.signal(signal.SIGTERM, leave)
+    # A new plate told of while starting waits until the service listens for it; guards against ending by it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
     import os
 
--- a/thistleline/life/announcer.py
+++ b/thistleline/life/announcer.py
@@ -32,6 +32,15 @@
         self.taking = taking
         self.changed.set()
 
+    def move(self, address: Address) -> None:
+        """The announce service is elsewhere now: it is told at once what the old one was told."""
+        if address != self.address:
+            self.address, self.reports = address, Reports(f"{address[0]}:{address[1]}")
+            if self.stream is not None:
+                self.stream.close()
+                self.stream = None
+            self.changed.set()
+
     async def keep_reporting(self) -> None:
         """Ends with the first report that nothing is accepted any more: the entry may lapse then."""
         while True:
@@ -63,7 +72,11 @@
 
     async def _ask(self, taking: bool) -> int:
         if self.stream is None:
-            sock = await connect(self.address)
+            address = self.address
+            sock = await connect(address)
+            if address != self.address:
+                sock.close()
+                raise OSError("the address changed")
             self.stream = Stream(sock, self.group, ANSWER_BOUND, ANSWER_BOUND)
             self.reports = Reports(self.reports.host)
         stream = self.stream
--- a/thistleline/life/farm.py
+++ b/thistleline/life/farm.py
@@ -18,35 +18,52 @@
     def __init__(self, address: Address, take: Callable[..., None], group: TaskGroup) -> None:
         self.address, self.take, self.group = address, take, group
         self.stream: Stream | None = None
+        self.trying = anyio.CancelScope()
+
+    def move(self, address: Address) -> None:
+        """The agent is elsewhere now: ends the link, or the try to make one, and makes one there at once."""
+        if address != self.address:
+            self.address = address
+            self.flush()
+            self.trying.cancel()
 
     async def hold(self, notice: Callable[[], int]) -> None:
         tries = 0
         while True:
-            why, begun = "closed", anyio.current_time()
-            try:
-                with anyio.fail_after(PATIENCE):
-                    sock = await connect(self.address)
-                self.stream = Stream(sock, self.group, agent.BUFFER_BOUND, WRITE_BOUND)
-                self.stream.write(agent.subscribe(notice()))
-                self.stream.flush()
-                while True:
-                    self.stream.ask()
-                    if not await self.stream.read():
-                        break
-                    for told in agent.notices(self.stream.buffer):
-                        self.take(*told)
-            except (OSError, TimeoutError, anyio.ClosedResourceError) as error:
-                why = str(error) or type(error).__name__
-            except Exception as error:  # whatever a link brings ends that link alone
-                why = f"{type(error).__name__}: {error}"
+            with anyio.CancelScope() as self.trying:
+                begun = anyio.current_time()
+                await self._link(notice)
+                if anyio.current_time() - begun > PATIENCE:
+                    tries = 0
+                await anyio.sleep(PAUSES[min(tries, len(PAUSES) - 1)])
+                tries += 1
+            if self.trying.cancelled_caught:
+                tries = 0
+
+    async def _link(self, notice: Callable[[], int]) -> None:
+        """One link from its making to its end. The reducer hears of the end before another is made."""
+        why = "closed"
+        try:
+            with anyio.fail_after(PATIENCE):
+                sock = await connect(self.address)
+            self.stream = Stream(sock, self.group, agent.BUFFER_BOUND, WRITE_BOUND)
+            self.stream.write(agent.subscribe(notice()))
+            self.stream.flush()
+            while True:
+                self.stream.ask()
+                if not await self.stream.read():
+                    break
+                for told in agent.notices(self.stream.buffer):
+                    self.take(*told)
+        except (OSError, TimeoutError, anyio.ClosedResourceError) as error:
+            why = str(error) or type(error).__name__
+        except Exception as error:  # whatever a link brings ends that link alone
+            why = f"{type(error).__name__}: {error}"
+        finally:
             if self.stream is not None:
                 self.stream.close()
                 self.stream = None
             self.take("agent_lost", why)
-            if anyio.current_time() - begun > PATIENCE:
-                tries = 0
-            await anyio.sleep(PAUSES[min(tries, len(PAUSES) - 1)])
-            tries += 1
 
     # ---- effects
 
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -6,7 +6,7 @@
 import signal
 import traceback
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import fields, replace
 from typing import Any
 
 import anyio
@@ -18,14 +18,16 @@
 from thistleline.life.front import Front, listen
 from thistleline.life.log import Log
 from thistleline.life.phases import Phases
-from thistleline.life.plate import Plate
+from thistleline.life.plate import Plate, read_plate
 from thistleline.memory.reducer import Effect, Reducer
+from thistleline.wire.bench import Malformed
 from thistleline.wire.thrift import Stubs
 
 MS, SECOND = 1_000_000, 1_000_000_000
 RESERVE = 24  # descriptors that are no client stub's: listener, links, log, the loop's own
 CONNECTION_COST = 32 * 1024  # bytes of an open connection, measured at 900 of them
 FIGURES_EVERY = 5.0
+TAKEN_UP = ("agent", "announce", "stop_span")  # of a new plate; all else needs a restart
 READ_FIRST = 3  # turns of the loop in which all that lies unread comes in, before the clock is heeded
 STANDSTILL, READ_FIRST_AFTER_STANDSTILL = 100 * MS, 12
 
@@ -59,11 +61,12 @@
         async with anyio.create_task_group() as group:
             front = self.front = Front(listener, Stubs(self.plate.bench), self.take_task, group)
             farm = self.farm = Farm(self.plate.agent, self.take, group)
-            announcer = Announcer(self.plate.name, self.plate.announce, group, self.note)
+            announcer = self.announcer = Announcer(self.plate.name, self.plate.announce, group, self.note)
             for effects in (front.effects(), farm.effects(), announcer.effects()):
                 self.does |= effects
             self.does |= {"log": self.told, "end": group.cancel_scope.cancel}
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+                signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
                 self.take("listening")
                 self.note("started", **self.plate.facts())
                 group.start_soon(front.accept)
@@ -73,8 +76,28 @@
                 group.start_soon(self.figures)
                 gc.collect()
                 gc.freeze()
-                async for _ in signals:
-                    self.take("leave", self.clock.now() + self.plate.stop_span)
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        self.read_again()
+                    else:
+                        self.take("leave", self.clock.now() + self.plate.stop_span)
+
+    def read_again(self) -> None:
+        """Takes up what can be of a new plate; one that makes no sense changes nothing."""
+        try:
+            plate = read_plate(os.environ)
+        except Malformed as error:
+            self.note("plate refused", why=str(error))
+            return
+        kept = {
+            field.name: getattr(self.plate, field.name)
+            for field in fields(plate)
+            if field.name not in TAKEN_UP and getattr(plate, field.name) != getattr(self.plate, field.name)
+        }
+        self.plate = replace(plate, **kept)
+        self.farm.move(plate.agent)
+        self.announcer.move(plate.announce)
+        self.note("plate read", agent=plate.agent, announce=plate.announce, needs_restart=sorted(kept))
 
     def take_task(self, kind: str, *told: Any) -> None:
         if kind == "task":
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -22,6 +22,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from hashlib import blake2b
 from typing import Any
 
 from thistleline.interface import Bench, CameIn, Task
@@ -255,7 +256,7 @@
             self.effects.append(("misunderstood", name, seq, None, "this try is in hand already"))
             return
         self._count("tasks")
-        key = None if word is None else (task.stage, word)
+        key = None if word is None else (task.stage, word, blake2b(body, digest_size=16).digest())
         held = Try(name, seq, task.stage, min(task.reached, self.now), key, bytes(body))
         if key is not None:
             held.repeats = self._repeated(key, held.since)
@@ -400,12 +401,13 @@
     def _restart(self, mark: int) -> None:
         """All notices missed were read: what was started before the mark, ended in none of them and was not
         known to have arrived is started again. One that is known to have arrived is left: it runs, and a
-        second start that crosses its end would run it twice."""
+        second start that crosses its end would run it twice. A stop does no harm twice, so all are repeated;
+        guards against a run that holds its cores because its stop was lost with the link."""
         for task, run in list(self.runs.items()):
             if self.answered <= run.measures < mark:
                 self._send(task, run)
-                if run.frozen:
-                    self.effects.append(("stop", task))
+            if run.frozen:
+                self.effects.append(("stop", task))
 
     def _send(self, task: str, run: Run) -> None:
         run.sent, run.measures = True, self.measures
--- a/thistleline/memory/tables.py
+++ b/thistleline/memory/tables.py
@@ -3,7 +3,9 @@
 from collections import OrderedDict
 from heapq import heappop, heappush
 
-Key = tuple[int, str]  # stage, and the mark or subject by which repeats are known
+# Stage, the mark or subject by which repeats are known, and the body's digest: all tries of one task carry
+# the same body. Guards against a stranger who has a mark: it joins no run and gets no kept result.
+Key = tuple[int, str, bytes]
 
 
 class Connection:
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -91,9 +91,8 @@
         self.levels = max((row.level for row in self.rows), default=0) + 1
         self.short_hold = bench.cores + SHORT_HOLD * bench.cores**0.5
         self.due_span = min(stage.due_span for stage in bench.stages)
-        self.born = now
         self.begun = False
-        self.now = now
+        self.born = self.now = now
         self.tasks: dict[str, Exec] = {}
         self.effects: dict[str, Effect] = {}
         self.entries: dict[str, int] = {}  # remembered fingerprints, each until when
@@ -123,11 +122,10 @@
         self.before_probe: float | None = None
         self.probe_wait = PROBE_FIRST
         self.changed = self.fired = now
-        self.cut = 0
+        self.cut = self.idle_span = 0
         self.said = 0.0
         self.patience: deque[float] = deque(maxlen=3 * HABIT)  # of first tries, as parts of the time limit
         self.callers: deque[int] = deque(maxlen=CALLERS_SEEN)
-        self.idle_span = 0
         # calls
         self.at_call: list[Exec] = []
         self.calls: deque[tuple[int, int]] = deque(maxlen=512)  # from, until of those over
@@ -518,10 +516,9 @@
             elif held.state != "over":
                 out.abandon(held.task.id)
                 self._gone(held.task.id, out)
-        if self.ticks % WINDOW:
-            return
-        self.entries = {name: until for name, until in self.entries.items() if until > self.now}
-        self.effects = {name: effect for name, effect in self.effects.items() if effect.until > self.now}
+        if self.ticks % WINDOW == 0:
+            self.entries = {name: until for name, until in self.entries.items() if until > self.now}
+            self.effects = {name: effect for name, effect in self.effects.items() if effect.until > self.now}
 
     def _gone(self, name: str, out: Writer) -> None:
         """Nobody waits for it: what may run again is stopped; an effect goes on, for its repeats' sake."""
@@ -550,6 +547,9 @@
             self.running -= 1
             self.memory -= held.task.held_kb * (self.bench.run_factor - 1)
         self.memory -= held.task.held_kb
+        if how == "moot" and held.effect is not None:
+            held.effect.ran = False  # nothing ran; guards the table against what the agent does not know
+            self._unrun(held, out)
         if how == "finished" and held.started:
             self.finishes.append(self.now)
             self.latencies.append((self.now, self.now - held.task.reached))
