Connections that stay silent or go on offending are closed; a flood is counted, not logged

Reducer._drained renewed 'carried' for any byte, so a trickle never aged; at the bound the one idle for longest went, a client stub's as likely as a stranger's, found by a walk over all of them; each malformed message wrote a log line; frames up to 16 MB were read and thrown away. Now: what has carried no whole message goes first at the bound and is closed after 2 s in any case; the rest stand in the order in which they last carried one, so nothing is walked; after 16 messages that no client stub sends a connection is read no more and closed once nothing is open on it; a frame over 64 KiB closes its connection; what peers do wrong is counted in the figures and told once a second. Ruled out: results to strangers (none).

--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -371,6 +371,65 @@
     assert set(desk.reducer.connections) == {1, 3, 4}
 
 
+def test_a_flood_of_silent_connections_costs_no_other_its_place() -> None:
+    desk = Desk(connections=4)
+    for connection in (1, 2, 3):
+        desk.send(connection)
+        desk.wait()
+        desk.end(f"t{connection}")
+    for connection in range(10, 20):
+        desk.put("opened", connection)
+        desk.put("drained", connection)
+    assert set(desk.reducer.connections) == {1, 2, 3, 19}
+
+
+def test_a_connection_that_never_carries_a_whole_message_is_closed() -> None:
+    desk = Desk()
+    for connection in (1, 2, 3):
+        desk.put("opened", connection)
+    desk.put("check", 3, 1, False)
+    end = desk.now + memory.SILENCE_SPAN + memory.SWEEP
+    while desk.now < end:
+        desk.put("drained", 2)
+        desk.wait(100 * MS)
+    assert [effect[1] for effect in desk.kinds("close")] == [1, 2]
+
+
+@pytest.mark.parametrize("offence", ["malformed", "in hand already", "declined"])
+def test_who_goes_on_offending_is_read_no_more_and_closed_once_nothing_is_open(offence: str) -> None:
+    desk = Desk(cores=64)
+    name, other = desk.send(1), desk.send(2)
+    for _ in range(memory.OFFENCES_BOUND):
+        if offence == "malformed":
+            desk.put("malformed", 1, 9, b"process", "not strict binary")
+        elif offence == "in hand already":
+            desk.send(1, id=other)
+        else:
+            strange = desk.send(1)
+            desk.wait()
+            desk.put("declined", "start", strange)
+    desk.effects.clear()
+    desk.put("drained", 1)
+    desk.wait(memory.SWEEP)
+    assert desk.kinds("read", "close") == []
+    desk.end(name)
+    desk.end(other)
+    desk.wait(memory.SWEEP)
+    assert desk.kinds("read", "close") == [("close", 1)]
+    assert desk.answers()[-2:] == ["finished", "finished"]
+
+
+def test_a_flood_of_nonsense_is_counted_and_told_once_a_second() -> None:
+    desk = Desk()
+    for place in range(100):
+        desk.put("opened", place)
+        desk.put("malformed", place, None, None, "not strict binary")
+        desk.now += 20 * MS
+    lines = [effect for effect in desk.kinds("log") if effect[1] == "malformed"]
+    assert len(lines) == 2
+    assert desk.reducer.figures["malformed"] == 100
+
+
 def test_idle_connections_are_told_before_they_are_closed() -> None:
     desk = Desk()
     desk.put("opened", 1)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -114,6 +114,7 @@
         (frame(b"\x80\x01\x00\x01\x00\x00\x00\x03a"), None),
         (frame(b"\x00\x00\x00\x07process\x01\x00\x00\x00\x05\x00"), None),
         (frame(b""), None),
+        (process(5, words(), b"x" * 70_000), None),
         (b"GET / HTTP/1.1\r\n\r\n", None),
         (b"\xff\xff\xff\xff" + b"x" * 200, None),
     ],
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -20,6 +20,7 @@
 The module is called once a round with all that came in; `Reducer` is the writer that its decisions go to.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import replace
 from hashlib import blake2b
@@ -32,6 +33,11 @@
 
 SECOND = 1_000_000_000
 OPEN_BOUND = 32  # tasks in hand on a connection; past it the connection is not read
+SILENCE_SPAN = (
+    2 * SECOND
+)  # a connection that carries no whole message for so long after its opening is closed
+OFFENCES_BOUND = 16  # past it a connection is read no more, and closed once nothing is open on it
+COMPLAIN_EVERY = SECOND  # a line of the log on what peers do wrong; a flood is counted, not told
 SWEEP = SECOND // 4  # how often connections and entries are looked through
 DISMISSAL_SPAN = SECOND // 5  # after that a dismissed connection with nothing open is closed
 END_EARLY = SECOND // 10  # before the stop
@@ -65,7 +71,10 @@
         self.last_round = 0
         self.next_sweep = now
         self.entry_slack = max(stage.limit_span for stage in bench.stages)
-        self.connections: dict[int, Connection] = {}
+        self.connections: OrderedDict[int, Connection] = OrderedDict()  # the longest idle first
+        self.silent: OrderedDict[int, None] = (
+            OrderedDict()
+        )  # of these: no whole message yet, the oldest first
         self.tries: dict[str, Try] = {}
         self.runs: dict[str, Run] = {}
         self.entries = Entries(results_bound)
@@ -86,6 +95,7 @@
         self.idle_span = 0
         self.stop_by: int | None = None
         self.figures: dict[str, int] = {}
+        self.complained: dict[str, int] = {}  # when last, by event
         self.does: dict[str, Callable[..., None]] = {kind: getattr(self, f"_{kind}") for kind in INPUTS}
         self.module = Policy(bench, seed, now)
         self._call_module()
@@ -152,6 +162,12 @@
     def _count(self, what: str) -> None:
         self.figures[what] = self.figures.get(what, 0) + 1
 
+    def _complain(self, event: str, **facts: Any) -> None:
+        self._count(event)
+        if self.now - self.complained.get(event, 0) >= COMPLAIN_EVERY:
+            self.complained[event] = self.now
+            self._log(event, **facts)
+
     # ---- start and stop
 
     def _listening(self) -> None:
@@ -182,30 +198,52 @@
 
     def _opened(self, name: int) -> None:
         connection = self.connections[name] = Connection(self.now)
+        self.silent[name] = None
         self._count("connections")
         self.effects.append(("read", name))
         if self.phases.over:
             self._dismiss(name, connection)
         if len(self.connections) > self.connections_bound:
-            # Guards the descriptors: the one that has carried nothing for longest gives way.
-            idle = [other for other, told in self.connections.items() if not told.open]
-            self._close(min(idle, key=lambda other: self.connections[other].carried))
+            # Guards the descriptors: one that never carried a whole message gives way, so that a flood of
+            # silent ones costs no client stub its connection; else the longest idle.
+            silent = next(iter(self.silent))
+            idle = (other for other, told in self.connections.items() if not told.open)
+            self._close(silent if silent != name else next(idle))
 
     def _drained(self, name: int) -> None:
         connection = self.connections.get(name)
         if connection is not None:
-            connection.carried = self.now
-            connection.stalled = len(connection.open) >= OPEN_BOUND
+            connection.stalled = len(connection.open) >= OPEN_BOUND or connection.offences >= OFFENCES_BOUND
             if not connection.stalled:
                 self.effects.append(("read", name))
 
+    def _heard(self, name: int) -> Connection | None:
+        """A whole message came. What drips counts as nothing; guards against those who hold on so."""
+        connection = self.connections.get(name)
+        if connection is not None:
+            self.silent.pop(name, None)
+            self._carried(name, connection)
+        return connection
+
+    def _carried(self, name: int, connection: Connection) -> None:
+        connection.carried = self.now
+        self.connections.move_to_end(name)
+
+    def _offended(self, name: int, event: str, **facts: Any) -> None:
+        """Guards the processor: who goes on sending what no client stub sends is read no more."""
+        self._complain(event, connection=name, **facts)
+        connection = self.connections.get(name)
+        if connection is not None:
+            connection.offences += 1
+
     def _ended(self, name: int, why: str) -> None:
         """Lets the connection's tasks go. An effect that runs goes on, for its repeats' sake."""
         connection = self.connections.pop(name, None)
         if connection is None:
             return
+        self.silent.pop(name, None)
         if why or connection.open:
-            self._log("connection ended", connection=name, why=why, open=len(connection.open))
+            self._complain("connection ended", connection=name, why=why, open=len(connection.open))
         unseen = set()
         for task in connection.open:
             held = self.tries.pop(task)
@@ -237,7 +275,12 @@
             if connection.open:
                 continue
             idle = self.now - connection.carried
-            if connection.dismissed is not None and self.now - connection.dismissed >= DISMISSAL_SPAN <= idle:
+            dismissed = self.now if connection.dismissed is None else connection.dismissed
+            if (
+                (self.now - dismissed >= DISMISSAL_SPAN <= idle)
+                or (name in self.silent and idle >= SILENCE_SPAN)
+                or connection.offences >= OFFENCES_BOUND
+            ):
                 self._close(name)
             elif self.idle_span and idle >= self.idle_span:
                 self._dismiss(name, connection)
@@ -249,11 +292,12 @@
     # ---- tasks
 
     def _task(self, name: int, seq: int, task: Task, word: str | None, body: memoryview) -> None:
-        connection = self.connections.get(name)
+        connection = self._heard(name)
         if connection is None:
             return
         if task.id in self.tries or task.id in self.runs:
             self.effects.append(("misunderstood", name, seq, None, "this try is in hand already"))
+            self._offended(name, "in hand already", id=task.id)
             return
         self._count("tasks")
         key = None if word is None else (task.stage, word, blake2b(body, digest_size=16).digest())
@@ -287,6 +331,7 @@
         return entry.task
 
     def _check(self, name: int, seq: int, deep: bool) -> None:
+        self._heard(name)
         if deep and not self.from_store and self.linked and len(self.deep_checks) < DEEP_CHECKS_BOUND:
             tag = f"check-{name}-{seq}"
             self.deep_checks[tag] = (name, seq, self.now)
@@ -298,9 +343,9 @@
         self.effects.append(("health", name, seq, self.good and self.greeted and good, self.level))
 
     def _malformed(self, name: int, seq: int | None, method: bytes | None, text: str) -> None:
-        if name not in self.connections:
+        if self._heard(name) is None:
             return
-        self._log("malformed", connection=name, text=text)
+        self._offended(name, "malformed", text=text)
         if seq is None:
             self._close(name)
         else:
@@ -312,10 +357,9 @@
         if held is not None:
             connection = self.connections[held.connection]
             connection.open.pop(task, None)
-            connection.carried = self.now
-            if connection.stalled and len(connection.open) < OPEN_BOUND:
-                connection.stalled = False
-                self.effects.append(("read", held.connection))
+            self._carried(held.connection, connection)
+            if connection.stalled:
+                self._drained(held.connection)
         return held
 
     def _finish(self, task: str, result: bytes | memoryview) -> bool:
@@ -419,7 +463,11 @@
             self._tell_health(asked[0], asked[1], good)
 
     def _declined(self, what: str, task: str) -> None:
-        self._log("declined", what=what, id=task)
+        held = self.tries.get(task)
+        if what == "start" and held is not None:
+            self._offended(held.connection, "declined", what=what, id=task)
+        else:
+            self._complain("declined", what=what, id=task)
         if what == "start":
             self._ended_run(task, "moot", 0, b"")
         elif what == "deep_check":
--- a/thistleline/wire/thrift.py
+++ b/thistleline/wire/thrift.py
@@ -25,7 +25,7 @@
 BUFFER_BOUND = FRAME_BOUND + 4 * 1024
 BODY_BOUND, FIELDS_BOUND, NAME_BOUND, DEPTH_BOUND = 2048, 64, 64, 16
 DIGITS_BOUND, WORK_BOUND = 16, 1e9  # of a number; milliseconds
-PASSED_OVER_BOUND = 1 << 24  # a longer frame is taken for noise
+PASSED_OVER_BOUND = 1 << 16  # a longer frame is taken for noise: a close costs less than reading it
 
 _i16, _i32, _u32 = Struct(">h").unpack_from, Struct(">i").unpack_from, Struct(">I").unpack_from
 _field, _entries = Struct(">bh").pack, Struct(">bbi").pack
