A server told to leave serves on through nine tenths of the grace before it closes

Ruled out: the links (moved in 1 ms, nothing declined, no fault), CPU (0.35 of the core at most), memory. At fault: Reducer._leave closed the listening socket and sent every farewell with the notice, and the module took nothing past half of the grace and said the full level at once. Now the module's bell 'shut' ends the taking at 0.9 of the grace or 0.6 of the time to the stop, and only then health is bad, the level full, and the reducer closes (a phase of its own).

--- a/thistleline/life/phases.py
+++ b/thistleline/life/phases.py
@@ -2,12 +2,13 @@
 
 from typing import Literal
 
-Name = Literal["starting", "awaiting agent", "serving", "leaving", "ended"]
+Name = Literal["starting", "awaiting agent", "serving", "leaving", "closing", "ended"]
 FOLLOWS: dict[Name, tuple[Name, ...]] = {
     "starting": ("awaiting agent", "leaving", "ended"),  # nothing listens yet
     "awaiting agent": ("serving", "leaving", "ended"),  # listens; no task comes before the agent is up
     "serving": ("leaving", "ended"),
-    "leaving": ("ended",),  # told to leave: no new connection, what was read gets its answer
+    "leaving": ("closing", "ended"),  # told to leave: serves on while the module has it so
+    "closing": ("ended",),  # no new connection, what was read gets its answer
     "ended": (),
 }
 
@@ -24,5 +25,9 @@
         self.name = name
 
     @property
-    def over(self) -> bool:
-        return self.name in ("leaving", "ended")
+    def leaving(self) -> bool:
+        return self.name in ("leaving", "closing", "ended")
+
+    @property
+    def shut(self) -> bool:
+        return self.name in ("closing", "ended")
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -136,7 +136,7 @@
             self._call_module()
         if self.now >= self.next_sweep:
             self._sweep()
-        if self.phases.name == "leaving":
+        if self.phases.leaving:
             self._end_if_done()
 
     def _call_module(self) -> None:
@@ -175,13 +175,21 @@
         self._log("phase", phase=self.phases.name)
 
     def _leave(self, by: int) -> None:
-        if self.phases.over:
+        if self.phases.leaving:
             return
         self.phases.move("leaving")
         self._log("phase", phase=self.phases.name, held=len(self.tries), runs=len(self.runs))
         self.stop_by = by
         self.came_in.append(("leave", by))
-        self.effects += [("report", False), ("deaf",)]
+        self.effects.append(("report", False))
+
+    def _shut(self) -> None:
+        """Nothing new is wanted: a refused connection and a farewell send what comes elsewhere at once."""
+        if self.phases.shut:
+            return
+        self.phases.move("closing")
+        self._log("phase", phase=self.phases.name, held=len(self.tries), runs=len(self.runs))
+        self.effects.append(("deaf",))
         for name, connection in self.connections.items():
             self._dismiss(name, connection)
 
@@ -189,10 +197,13 @@
         """Ends once nothing is owed and no connection is left, or just before the stop."""
         assert self.stop_by is not None
         owed, left = len(self.tries), len(self.connections)
-        if not (owed or left or self.came_in) or self.now >= self.stop_by - END_EARLY:
+        idle = not (owed or left or self.came_in)
+        if (idle and self.phases.shut) or self.now >= self.stop_by - END_EARLY:
             self.phases.move("ended")
             self._log("phase", phase=self.phases.name, owed=owed, connections=left)
             self.effects.append(("end",))
+        elif idle:
+            self._shut()  # nobody comes: all know already
 
     # ---- connections
 
@@ -201,7 +212,7 @@
         self.silent[name] = None
         self._count("connections")
         self.effects.append(("read", name))
-        if self.phases.over:
+        if self.phases.shut:
             self._dismiss(name, connection)
         if len(self.connections) > self.connections_bound:
             # Guards the descriptors: one that never carried a whole message gives way, so that a flood of
@@ -382,7 +393,7 @@
         if self.phases.name == "awaiting agent":
             self.phases.move("serving")
             self._log("phase", phase=self.phases.name)
-        if not self.tries and not self.runs and not self.phases.over:
+        if not self.tries and not self.runs and not self.phases.leaving:
             # Only the agent knows how long the machine has been up and whether it began cold.
             self.bench = replace(self.bench, fresh=fresh)
             self.alarms, self.ringing, self.came_in = Alarms(), [], []
@@ -546,6 +557,8 @@
 
     def health(self, good: bool, from_store: bool) -> None:
         self.good, self.from_store = good, from_store
+        if self.phases.leaving and not good:
+            self._shut()
 
     def say(self, value: float) -> None:
         self.level = value
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -37,6 +37,7 @@
 SAME_PATIENCE, HABIT = 0.01, 32  # of the time limit; one in so many tries alike makes a caller's habit
 CALL_TRIES = 2  # for one run, the first included
 ANSWER_EARLY, LEAVE_EARLY = 2 * TICK, 200 * MS
+GRACE_USED, STAY_USED = 0.9, 0.6  # parts of the grace and of the time to the stop that still take tasks
 SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE, STAY_SHORT = 0.1, 200 * MS  # part of a due span unread, past that a jam; advice for no level
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
@@ -96,10 +97,9 @@
         self.tasks: dict[str, Exec] = {}
         self.effects: dict[str, Effect] = {}
         self.entries: dict[str, int] = {}  # remembered fingerprints, each until when
-        self.memory = 0.0
         self.running = 0  # takes running memory and may stand on a core
-        self.leave_notice: int | None = None
-        self.leave_by: int | None = None
+        self.shut: int | None = None  # leaving: what reaches the machine later than this is not run
+        self.leave_by = 0
         # detectors
         self.queue_samples, self.wait_samples = deque[float](maxlen=WINDOW), deque[float](maxlen=WINDOW)
         self.violations = [0, 0]
@@ -108,9 +108,7 @@
         self.peaks: deque[float] = deque(maxlen=CROWD_WINDOWS)
         self.unread: deque[tuple[int, int]] = deque(maxlen=64)  # when read, how long it had lain unread
         self.slowness: deque[float] = deque(maxlen=SLOWNESS_SAMPLES)  # recent runs over their usual pace
-        self.ticks = 0
         self.waiting = 0  # held at the end of the last round, and taken since
-        self.on_cores = 0.0
         # cap and cut
         self.limit = float(bench.cores)
         self.finishes: deque[int] = deque(maxlen=512)
@@ -122,8 +120,8 @@
         self.before_probe: float | None = None
         self.probe_wait = PROBE_FIRST
         self.changed = self.fired = now
-        self.cut = self.idle_span = 0
-        self.said = 0.0
+        self.cut = self.idle_span = self.ticks = 0
+        self.memory = self.on_cores = self.said = 0.0
         self.patience: deque[float] = deque(maxlen=3 * HABIT)  # of first tries, as parts of the time limit
         self.callers: deque[int] = deque(maxlen=CALLERS_SEEN)
         # calls
@@ -156,7 +154,12 @@
             elif kind == "call_over":
                 self._call_over(item[1], item[2], out)
             elif kind == "leave":
-                self.leave_notice, self.leave_by = now, item[1]
+                # Callers learn late who leaves and who is new. Guards against cores that idle through the
+                # grace while cold successors are jammed; could harm where runs outlast the rest of the stop.
+                self.leave_by = item[1]
+                self.shut = now + int(min(GRACE_USED * self.bench.drain_grace, STAY_USED * (item[1] - now)))
+                out.alarm("shut", self.shut - now)
+            elif kind == "bell" and item[1] == "shut":
                 out.health(False, True)
                 if self.bench.says == "threshold":
                     out.say(1.0)
@@ -236,8 +239,7 @@
             if hopeless or self._too_late_to_run(held.task):
                 self._reject(held, out)  # cannot be answered in time to be worth anything
                 continue
-            more = held.task.held_kb * (bench.run_factor - 1)
-            if self.running < room and not self._memory_short(more):
+            if self.running < room and not self._memory_short(held.task.held_kb * (bench.run_factor - 1)):
                 self._start(held, out)
         self.waiting = sum(1 for held in held_now if held.state == "held")
 
@@ -273,10 +275,10 @@
 
     def _too_late_to_run(self, task: Task) -> bool:
         """Guards the drain: nothing that came later than the grace is started, nor what can't end in time."""
-        if self.leave_notice is None or self.leave_by is None:
+        if self.shut is None:
             return False
-        late = task.reached > self.leave_notice + self.bench.drain_grace // 2
-        return late or self.now + self._estimate(task, self._times()) > self.leave_by - LEAVE_EARLY
+        end = self.now + self._estimate(task, self._times())
+        return task.reached > self.shut or end > self.leave_by - LEAVE_EARLY
 
     def _start(self, held: Exec, out: Writer) -> None:
         held.state, held.started = "running", self.now
@@ -390,11 +392,11 @@
         # A cold server jammed with unread tasks is off the list until it has read them. Guards against cold
         # successors that take a warm one's traffic; could harm where all of a fleet starts at once.
         age, cold = now - self.born, self.bench.cold_span
-        if self.bench.fresh and age < cold + SECOND and self.leave_notice is None:
+        if self.bench.fresh and age < cold + SECOND and self.shut is None:
             out.health(age > cold or self._unread_wait() <= UNREAD_BEARABLE * self.due_span, True)
         wanted = self._cut_for(self.cap) if self.cap is not None else 0
         self.cut = max(wanted, self.cut - max(1, BUCKETS * WINDOW * TICK // CUT_FALL))
-        if self.bench.says == "threshold" and self.leave_notice is None:
+        if self.bench.says == "threshold" and self.shut is None:
             value = self._rank_at(self.cut) * SAY_PART
             if value != self.said:
                 self.said = value
@@ -481,7 +483,7 @@
         # What is turned away comes back when what lies unread has been read: a rejection costs a reading too,
         # so a jam of reading ends only if less is sent. Guards against storms of further tries.
         stay_away = self._unread_wait()
-        if self.leave_notice is not None:
+        if self.shut is not None:
             stay_away = self.bench.longest_stay_away
         if stay_away < UNREAD_BEARABLE * self.due_span:
             stay_away = STAY_SHORT if self.cap is not None and self.bench.says == "none" else 0
@@ -495,7 +497,7 @@
         """Whether elsewhere is no better: marked tries beyond a budget, or rejections beyond it while this
         server keeps its usual pace, so that too much is sent rather than too little done. Guards against
         tries that walk the whole list; could harm where one server alone gets a crowd for long."""
-        if self.leave_notice is not None:
+        if self.shut is not None:
             return False
         if sum(1 for _, _, again in self.arrivals if again) > RETRY_BUDGET * len(self.arrivals):
             return True
@@ -509,7 +511,7 @@
 
     def _answer_due(self, out: Writer) -> None:
         """Guards against a task lost: whatever its state, it is answered before its time limit or our end."""
-        leaving = self.leave_by is not None and self.now >= self.leave_by - LEAVE_EARLY
+        leaving = self.shut is not None and self.now >= self.leave_by - LEAVE_EARLY
         for held in [held for held in self.tasks.values() if leaving or held.until <= self.now]:
             if held.state == "held":
                 self._reject(held, out)
@@ -529,8 +531,7 @@
             self._drop(held)
             self._unrun(held, out)
             return
-        if held in self.at_call:
-            self.at_call.remove(held)
+        self.at_call = [other for other in self.at_call if other is not held]
         may_run_again = self.rows[held.task.stage].stage.effect == "restartable"
         if held.state == "running" and self.bench.stopping != "none" and may_run_again:
             out.stop(name)
@@ -540,8 +541,7 @@
         held = self.tasks.pop(name, None)
         if held is None:
             return
-        if held in self.at_call:
-            self.at_call.remove(held)
+        self.at_call = [other for other in self.at_call if other is not held]
         self._call_ended(name)
         if held.started:
             self.running -= 1
