--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -213,6 +213,22 @@
     assert answered >= {*running, held.id, late.id}
 
 
+@pytest.mark.parametrize(("servers", "away"), [(3, 1800 * MS), (12, MS)])
+def test_a_leaving_server_serves_on_and_of_many_sends_its_callers_away_at_once(
+    servers: int, away: int
+) -> None:
+    host = FakeHost(servers=servers)
+    assert host.round(("leave", host.now + 3 * SECOND)) == []
+    assert ("alarm", "shut", away) in host.said
+    assert host.round(("bell", "shut", {})) == [("health", False, True), ("say", 1.0)]
+    host.now += 1700 * MS
+    task = host.task()
+    assert host.read(task)[0] == ("start", task.id)
+    host.now += 200 * MS
+    late = host.task()
+    assert host.read(late)[0][:2] == ("reject", late.id)
+
+
 # ---- nothing falls over
 
 
@@ -283,6 +299,16 @@
     assert host.policy.cut == 0
 
 
+def test_a_cap_that_outlives_a_slowdown_follows_what_is_finished_in_calm() -> None:
+    """Seeded while all servers did a fifth of their pace; it held callers back for seconds after."""
+    host = FakeHost(cores=8)
+    served(host, 5 * SECOND)
+    host.policy.cap, host.policy.changed, host.policy.fired = 2.0, host.now, host.now
+    served(host, 2 * SECOND)
+    assert host.policy.cap is None or host.policy.cap >= 9.0
+    assert (host.policy.cut, host.policy.said) == (0, 0.0)
+
+
 def test_a_jam_of_unread_tasks_fires_though_nothing_is_held() -> None:
     host = FakeHost()
     served(host, 5 * SECOND)
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -22,7 +22,7 @@
 FAST, SLOW = SECOND, 200  # span of the fast latency average; calm samples in the slow one
 CROSSING, CALM_SAMPLES = 1.1, 12  # fast over slow latency that confirms; fewer calm samples are no history
 
-SEED_SPAN = 2 * SECOND  # throughput just before the overload is counted over this
+SEED_SPAN, SAMPLES = 2 * SECOND, 8192  # throughput just before is counted over this; no span holds more
 CUT_BACK, PROBE_STEP = 0.9, 1.1  # what a firing leaves of the cap, what a probe makes of it
 PROBE_FIRST, PROBE_LAST = SECOND, 8 * SECOND
 SETTLE, LIFT_AFTER = SECOND, 4 * SECOND  # a firing sooner is the old crowd's; calm this long lifts the cap
@@ -38,6 +38,7 @@
 CALL_TRIES = 2  # for one run, the first included
 ANSWER_EARLY, LEAVE_EARLY = 2 * TICK, 200 * MS
 GRACE_USED, STAY_USED = 0.9, 0.6  # parts of the grace and of the time to the stop that still take tasks
+MANY = 6  # servers, of which the others take a leaving one's part at once
 SAY_PART = 0.6  # of the cut; what callers withhold is unseen here, so the level stays well under it
 UNREAD_BEARABLE, STAY_SHORT = 0.1, 200 * MS  # part of a due span unread, past that a jam; advice for no level
 USUAL_PACE = 2.0  # median slowness under which a server is itself well
@@ -111,16 +112,16 @@
         self.waiting = 0  # held at the end of the last round, and taken since
         # cap and cut
         self.limit = float(bench.cores)
-        self.finishes: deque[int] = deque(maxlen=512)
-        self.rejections: deque[tuple[int, int]] = deque(maxlen=1024)  # when, how old its next try will be
-        self.arrivals: deque[tuple[int, int, bool]] = deque(maxlen=2048)
-        self.asked: list[deque[int]] = [deque(maxlen=256) for _ in bench.owners]  # first tries by owner
+        self.finishes: deque[int] = deque(maxlen=SAMPLES)
+        self.rejections: deque[tuple[int, int]] = deque(maxlen=SAMPLES)  # when, how old its next try will be
+        self.arrivals = deque[tuple[int, int, bool]]()  # of the last span, looked through each window
+        self.asked: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in bench.owners]  # first tries by owner
         self.over = [0.0 for _ in bench.owners]  # part of an owner's traffic that is beyond its share
         self.cap: float | None = None
         self.before_probe: float | None = None
         self.probe_wait = PROBE_FIRST
         self.changed = self.fired = now
-        self.cut = self.idle_span = self.ticks = 0
+        self.cut = self.idle_span = self.ticks = self.marked = 0
         self.memory = self.on_cores = self.said = 0.0
         self.patience: deque[float] = deque(maxlen=3 * HABIT)  # of first tries, as parts of the time limit
         self.callers: deque[int] = deque(maxlen=CALLERS_SEEN)
@@ -154,11 +155,11 @@
             elif kind == "call_over":
                 self._call_over(item[1], item[2], out)
             elif kind == "leave":
-                # Callers learn late who leaves and who is new. Guards against cores that idle through the
-                # grace while cold successors are jammed; could harm where runs outlast the rest of the stop.
+                # Callers learn late who leaves and who is new, and few others can't take one's part at once.
+                # Guards against cores idle through the grace while these and cold successors are jammed.
                 self.leave_by = item[1]
                 self.shut = now + int(min(GRACE_USED * self.bench.drain_grace, STAY_USED * (item[1] - now)))
-                out.alarm("shut", self.shut - now)
+                out.alarm("shut", self.shut - now if self.bench.servers < MANY else MS)
             elif kind == "bell" and item[1] == "shut":
                 out.health(False, True)
                 if self.bench.says == "threshold":
@@ -169,8 +170,7 @@
                 self._steer(out)
                 self._answer_due(out)
         self._pass(fresh, out)
-        if self.at_call:
-            self._make_calls(out)
+        self._make_calls(out)
 
     def _pass(self, fresh: list[Task], out: Writer) -> None:
         """The ordinary path: read, cut or hold, then start the held by due time while there is room."""
@@ -203,6 +203,7 @@
             self.tasks[task.id] = held
             self.memory += task.held_kb
             self.arrivals.append((now, place, again))
+            self.marked += again
             self.callers.append(task.caller)
             if not again and task.owner < len(self.over):
                 self.asked[task.owner].append(now)
@@ -348,7 +349,7 @@
 
     def _arriving(self) -> float:
         while self.arrivals and self.arrivals[0][0] <= self.now - ARRIVALS_SPAN:
-            self.arrivals.popleft()
+            self.marked -= self.arrivals.popleft()[2]
         return len(self.arrivals) * SECOND / ARRIVALS_SPAN
 
     def _steer(self, out: Writer) -> None:
@@ -374,6 +375,9 @@
                     self.cap = max(1.0, min(self.cap, throughput) * CUT_BACK)
                 self.changed = now
         elif self.cap is not None:
+            # What is finished in calm is proof of room. Guards against a cap, and a level, that outlive a
+            # slowdown of all servers; could harm where runs end in bursts of seconds.
+            self.cap = max(self.cap, 0.0 if any(self.violations) else throughput)
             if now - self.fired >= LIFT_AFTER or self.cap > self._arriving() * PROBE_STEP:
                 self.cap = None
             elif now - max(self.changed, self.fired) >= self.probe_wait:
@@ -384,7 +388,7 @@
         # A connection whose caller seldom returns costs room and work for nothing. Guards against a table
         # that fills until callers get no connection; could harm where opening one costs very much.
         # In a storm of further tries a full table is left: what it turns away costs nothing to read.
-        storm = sum(1 for _, _, again in self.arrivals if again) > STORM * len(self.arrivals)
+        storm = self._arriving() * STORM * ARRIVALS_SPAN / SECOND < self.marked
         idle_span = IDLE_SHORT if len(set(self.callers)) > SELDOM * CALLERS_SEEN and not storm else 0
         if idle_span != self.idle_span:
             self.idle_span = idle_span
@@ -394,8 +398,7 @@
         age, cold = now - self.born, self.bench.cold_span
         if self.bench.fresh and age < cold + SECOND and self.shut is None:
             out.health(age > cold or self._unread_wait() <= UNREAD_BEARABLE * self.due_span, True)
-        wanted = self._cut_for(self.cap) if self.cap is not None else 0
-        self.cut = max(wanted, self.cut - max(1, BUCKETS * WINDOW * TICK // CUT_FALL))
+        self.cut = max(self._cut_for(self.cap), self.cut - max(1, BUCKETS * WINDOW * TICK // CUT_FALL))
         if self.bench.says == "threshold" and self.shut is None:
             value = self._rank_at(self.cut) * SAY_PART
             if value != self.said:
@@ -418,10 +421,10 @@
             within = owner.allowance * SHARE_SPAN / SECOND / self.bench.servers
             self.over[place] = max(0.0, 1.0 - (within * SHARE_SLACK + within**0.5) / max(len(asked), 1))
 
-    def _cut_for(self, cap: float) -> int:
+    def _cut_for(self, cap: float | None) -> int:
         """The lowest cut whose rest fits the cap; empty levels and buckets are skipped."""
-        spare = self._arriving() - cap
-        counts = Counter(place for _, place, _ in self.arrivals)
+        spare = 0.0 if cap is None else self._arriving() - cap
+        counts = Counter(place for _, place, _ in self.arrivals if spare > 0)
         cut = 0
         for place in sorted(counts):
             if spare <= 0:
@@ -497,13 +500,10 @@
         """Whether elsewhere is no better: marked tries beyond a budget, or rejections beyond it while this
         server keeps its usual pace, so that too much is sent rather than too little done. Guards against
         tries that walk the whole list; could harm where one server alone gets a crowd for long."""
-        if self.shut is not None:
-            return False
-        if sum(1 for _, _, again in self.arrivals if again) > RETRY_BUDGET * len(self.arrivals):
-            return True
-        lately = sum(1 for when, _ in self.rejections if when > self.now - WIDE_SPAN)
-        wide = lately * SECOND > RETRY_BUDGET * self._arriving() * WIDE_SPAN
-        return wide and bool(self.slowness) and median_high(self.slowness) < USUAL_PACE
+        budget = int(RETRY_BUDGET * self._arriving() * WIDE_SPAN / SECOND)
+        wide = len(self.rejections) > budget and self.rejections[-1 - budget][0] > self.now - WIDE_SPAN
+        usual = bool(self.slowness) and median_high(self.slowness) < USUAL_PACE
+        return self.shut is None and (self.marked > RETRY_BUDGET * len(self.arrivals) or (wide and usual))
 
     def _drop(self, held: Exec) -> None:
         self.tasks.pop(held.task.id, None)
