Newcomers are read before any gives way; a crowd that asks once and stays costs no stub its connection

Cause: Reducer._opened, 64 connections are accepted in one turn, and at the bound each newcomer pushed out the oldest silent one, which in a burst is one accepted in the same turn whose first message lies unread. Now a silent connection has a quarter of a second before it gives way, and until then those that carried a single message go first.

--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -373,16 +373,52 @@
 
 def test_a_flood_of_silent_connections_costs_no_other_its_place() -> None:
     desk = Desk(connections=4)
-    for connection in (1, 2, 3):
-        desk.send(connection)
+    for connection in (1, 2, 3, 1, 2, 3):
+        name = desk.send(connection)
         desk.wait()
-        desk.end(f"t{connection}")
+        desk.end(name)
     for connection in range(10, 20):
         desk.put("opened", connection)
         desk.put("drained", connection)
     assert set(desk.reducer.connections) == {1, 2, 3, 19}
 
 
+def test_a_crowd_that_asks_once_and_stays_costs_no_client_stub_its_connection() -> None:
+    desk = Desk(connections=5)
+    for connection in (1, 1, 2, 2, *range(10, 20)):
+        name = desk.send(connection)
+        desk.wait()
+        desk.end(name)
+    assert set(desk.reducer.connections) == {1, 2, 17, 18, 19}
+
+
+def test_a_burst_of_newcomers_is_read_before_any_of_it_gives_way() -> None:
+    desk = Desk(connections=5)
+    for connection in range(5):
+        desk.put("opened", connection)
+        desk.put("check", connection, 1, False)
+    for connection in (10, 11, 12):
+        desk.put("opened", connection)
+    assert [effect[1] for effect in desk.kinds("close")] == [0, 1, 2]
+    desk.now += memory.UNREAD_SPAN
+    desk.put("opened", 13)
+    assert [effect[1] for effect in desk.kinds("close")] == [0, 1, 2, 10]
+
+
+def test_what_the_module_believes_is_told_beside_what_the_agent_said() -> None:
+    desk = Desk()
+    names = [desk.send(1) for _ in range(3)]
+    desk.wait()
+    told = desk.reducer.believed()
+    assert told["believed"] == [3, 2, 3 * 10 + 2 * 150]
+    assert (told["gauged"]["on_cores"], told["gauged"]["age_ms"] <= 25) == (2.0, True)
+    for name in names:
+        desk.wait()
+        desk.end(name)
+    desk.wait()
+    assert desk.reducer.believed()["believed"] == [0, 0, 0]
+
+
 def test_a_connection_that_never_carries_a_whole_message_is_closed() -> None:
     desk = Desk()
     for connection in (1, 2, 3):
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -170,6 +170,7 @@
                 runs=len(self.reducer.runs),
                 entries=len(self.reducer.entries.by_key),
                 open=len(self.reducer.connections),
+                **self.reducer.believed(),
                 descriptors=_descriptors(),
                 cpu_ms=int((usage.ru_utime + usage.ru_stime) * 1000),
                 peak_kb=usage.ru_maxrss,
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -36,6 +36,7 @@
 SILENCE_SPAN = (
     2 * SECOND
 )  # a connection that carries no whole message for so long after its opening is closed
+UNREAD_SPAN = SECOND // 4  # for so long what came on a new connection may not have been read
 OFFENCES_BOUND = 16  # past it a connection is read no more, and closed once nothing is open on it
 COMPLAIN_EVERY = SECOND  # a line of the log on what peers do wrong; a flood is counted, not told
 SWEEP = SECOND // 4  # how often connections and entries are looked through
@@ -75,6 +76,7 @@
         self.silent: OrderedDict[int, None] = (
             OrderedDict()
         )  # of these: no whole message yet, the oldest first
+        self.once: OrderedDict[int, None] = OrderedDict()  # of these: a single whole message
         self.tries: dict[str, Try] = {}
         self.runs: dict[str, Run] = {}
         self.entries = Entries(results_bound)
@@ -86,7 +88,9 @@
         self.linked = self.greeted = False
         self.notice = 0  # number of the last one read
         self.measures = 0  # asked for so far; a tag is the number of its measure
-        self.answered = 0  # number of the last one answered
+        self.answered = 0  # number of the last one answered,
+        self.answered_at = now  # when,
+        self.gauged: list[float] = []  # and what it said
         self.mark: int | None = None  # the measure after which all missed notices were read
         self.deep_checks: dict[str, tuple[int, int, int]] = {}  # connection, sequence number, asked when
         # what the module has said
@@ -168,6 +172,17 @@
             self.complained[event] = self.now
             self._log(event, **facts)
 
+    def believed(self) -> dict[str, Any]:
+        """What the module takes to be so, beside what the agent said last: the two should not drift apart."""
+        gauged = {name: round(value, 3) for name, value in zip(self.gauges, self.gauged, strict=False)}
+        return {
+            "believed": [len(self.module.tasks), self.module.running, int(self.module.memory)],
+            "gauged": {**gauged, "age_ms": (self.now - self.answered_at) // 1_000_000},
+            "good": self.good,
+            "level": self.level,
+            "cap": self.module.cap,
+        }
+
     # ---- start and stop
 
     def _listening(self) -> None:
@@ -215,11 +230,16 @@
         if self.phases.shut:
             self._dismiss(name, connection)
         if len(self.connections) > self.connections_bound:
-            # Guards the descriptors: one that never carried a whole message gives way, so that a flood of
-            # silent ones costs no client stub its connection; else the longest idle.
-            silent = next(iter(self.silent))
-            idle = (other for other, told in self.connections.items() if not told.open)
-            self._close(silent if silent != name else next(idle))
+            # Guards the descriptors: one that never carried a whole message gives way, then one that carried
+            # a single one, then the longest idle, so that a crowd costs no client stub its connection. The
+            # first message of one just opened may lie unread; guards against closing a burst of newcomers.
+            gives_way = next(iter(self.silent))
+            if self.now - self.connections[gives_way].carried < UNREAD_SPAN:
+                once = (other for other in self.once if not self.connections[other].open)
+                gives_way = next(once, gives_way)
+            if gives_way == name:
+                gives_way = next(other for other, told in self.connections.items() if not told.open)
+            self._close(gives_way)
 
     def _drained(self, name: int) -> None:
         connection = self.connections.get(name)
@@ -232,7 +252,12 @@
         """A whole message came. What drips counts as nothing; guards against those who hold on so."""
         connection = self.connections.get(name)
         if connection is not None:
-            self.silent.pop(name, None)
+            connection.messages += 1
+            if connection.messages == 1:
+                del self.silent[name]
+                self.once[name] = None
+            else:
+                self.once.pop(name, None)
             self._carried(name, connection)
         return connection
 
@@ -253,6 +278,7 @@
         if connection is None:
             return
         self.silent.pop(name, None)
+        self.once.pop(name, None)
         if why or connection.open:
             self._complain("connection ended", connection=name, why=why, open=len(connection.open))
         unseen = set()
@@ -449,7 +475,7 @@
         if self.mark is not None and number >= self.mark:
             self._restart(self.mark)
             self.mark = None
-        self.answered = number
+        self.answered, self.answered_at, self.gauged = number, self.now, values
         if self.ringing and number == self.measures:
             self._ring(dict(zip(self.gauges, values, strict=False)))
 
--- a/thistleline/memory/tables.py
+++ b/thistleline/memory/tables.py
@@ -9,12 +9,13 @@
 
 
 class Connection:
-    __slots__ = ("carried", "dismissed", "offences", "open", "stalled")
+    __slots__ = ("carried", "dismissed", "messages", "offences", "open", "stalled")
 
     def __init__(self, now: int) -> None:
         self.open: dict[str, None] = {}  # tries that are owed an answer here
         self.carried = now  # when it last carried a whole message or an answer
-        self.offences = 0  # what no client stub sends
+        self.messages = 0  # whole ones that came
+        self.offences = 0  # of these, what no client stub sends
         self.dismissed: int | None = None  # when it was told that nothing new is wanted
         self.stalled = False  # not read: until something on it was answered, or for good after its offences
 
