--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -37,6 +37,7 @@
     2 * SECOND
 )  # a connection that carries no whole message for so long after its opening is closed
 UNREAD_SPAN = SECOND // 4  # for so long what came on a new connection may not have been read
+PLAUSIBLE_SPAN = 60 * SECOND  # a task that is said to have come longer ago, or so far ahead, makes no sense
 OFFENCES_BOUND = 16  # past it a connection is read no more, and closed once nothing is open on it
 COMPLAIN_EVERY = SECOND  # a line of the log on what peers do wrong; a flood is counted, not told
 SWEEP = SECOND // 4  # how often connections and entries are looked through
@@ -332,9 +333,14 @@
         connection = self._heard(name)
         if connection is None:
             return
+        nonsense = None
         if task.id in self.tries or task.id in self.runs:
-            self.effects.append(("misunderstood", name, seq, None, "this try is in hand already"))
-            self._offended(name, "in hand already", id=task.id)
+            nonsense = "this try is in hand already"
+        elif abs(self.now - task.reached) > PLAUSIBLE_SPAN:
+            nonsense = "it came at no likely time"  # guards the module, to which it would be a jam of reading
+        if nonsense is not None:
+            self.effects.append(("misunderstood", name, seq, None, nonsense))
+            self._offended(name, "nonsense", id=task.id, text=nonsense)
             return
         self._count("tasks")
         key = None if word is None else (task.stage, word, blake2b(body, digest_size=16).digest())
--- a/thistleline/wire/thrift.py
+++ b/thistleline/wire/thrift.py
@@ -213,10 +213,14 @@
 def _whole(text: str, base: int = 10) -> int:
     if len(text) > DIGITS_BOUND:
         raise Malformed("a number is too long")
+    if not (text.isascii() and text.isalnum()):  # no signs, blanks or underscores, which `int` allows
+        raise ValueError
     return int(text, base)
 
 
 def _number(text: str, bound: float) -> float:
+    if not text.isascii() or "_" in text or text != text.strip():
+        raise ValueError
     value = float(text)
     if not 0 <= value < bound:
         raise Malformed("a number is out of bounds")
