Ledger of fingerprinted tasks: nothing starts before its intent is on disk

A restarted server knew nothing of what had run; a repeat inside its window ran again. `ledger/`: a form of checksummed groups in segments, a book without I/O that decides what is written, found, aged out, compacted and refused, and a store that writes one group at a time on a thread while the next gathers. `memory/keeping.py` holds the launch of a fingerprinted run until its group is synced, and after a restart tells the module what has run through a new input, `remembered` (5 lines). Times count by the boot clock, so a clock set back or on forgets nothing; after a reboot the whole window holds anew. A failed sync refuses its bookings with when to come back, starts a new segment, lookups go on. An intent without an end is settled by an agent that outlived us or abandoned. `conf/` reads the line-based file of new parts (THISTLELINE_CONF), all faults at once; without it nothing of this is imported. Tests kill at every call of the disk, in compaction too, flip bits, cut ends, fail syncs. They found that a copy of an intent by a compaction cut short hid its outcome.

--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,490 @@
+"""The ledger: its form, its book, its files under faults, and a server that starts anew on it."""
+
+import errno
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.host import (
+    BOOKING,
+    Desk,
+    FakeAgent,
+    FakeAnnounce,
+    Instance,
+    answered,
+    bench,
+    booking,
+    frames,
+    process,
+)
+from thistleline.conf.schema import Faulty, check
+from thistleline.ledger import form
+from thistleline.ledger.book import Book
+from thistleline.ledger.disk import Disk, Held
+from thistleline.ledger.form import Damaged, Group, Intent, Outcome
+from thistleline.ledger.store import Store
+from thistleline.life.phases import Phases
+from thistleline.memory.keeping import KeepingReducer
+from thistleline.policy import MS, SECOND
+
+STAGES = ("lookup", "booking")
+START = 5000 * SECOND
+
+
+class Troubled(Disk):
+    """A disk that fails one of its calls, once or from then on, or ends the program there."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.calls, self.at, self.how, self.always = 0, 0, "", False
+
+    def _trouble(self) -> bool:
+        self.calls += 1
+        if self.calls != self.at and not self.always:
+            return False
+        if self.how == "kill":
+            raise KeyboardInterrupt
+        raise OSError(errno.ENOSPC if self.how == "full" else errno.EIO, self.how)
+
+    def begin(self, number: int) -> None:
+        self._trouble()
+        super().begin(number)
+
+    def append(self, data: bytes) -> None:
+        try:
+            self._trouble()
+        except BaseException:
+            super().append(data[: len(data) // 2])  # torn
+            raise
+        super().append(data)
+
+    def sync(self) -> None:
+        self._trouble()
+
+    def sync_folder(self) -> None:
+        self._trouble()
+
+    def remove(self, number: int) -> None:
+        self._trouble()
+        super().remove(number)
+
+
+class KeptDesk(Desk):
+    """A desk whose reducer keeps a ledger in a folder; `slow`: works are written when told."""
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        boot: int = START,
+        disk: int = 1 << 20,
+        up: bool = True,
+        left: bytes = b"",
+        now: int = 1000 * SECOND,
+        **changes: Any,
+    ) -> None:
+        self.now, self.phases = now, Phases()
+        told = bench(**changes), ("core_use", "on_cores"), 5 * MS, 8, 1 << 20, 7, self.now, self.phases
+        made = KeepingReducer(*told, disk_bound=disk, boot_ahead=boot - now)
+        self.reducer = self.kept = made
+        self.effects, self.answers_samples, self.number, self.count = [], True, 0, 0
+        self.disk = Troubled(folder)
+        self.disk.hold()
+        self.store = Store(self.disk, STAGES)
+        self.store.boot = left or self.store.boot
+        self.slow = False
+        self.store.recover(made.book)
+        self.put("recovered", list(made.book.recovered()))
+        self.put("listening")
+        if up:
+            self.put("agent_up", False, 60 * SECOND)
+            self.wait(50 * MS)
+
+    def put(self, kind: str, *told: Any) -> list[tuple[Any, ...]]:
+        told_back = super().put(kind, *told)
+        for effect in told_back:
+            if effect[0] == "write" and not self.slow:
+                self.write(effect[1])
+        return [effect for effect in told_back if effect[0] != "write"]
+
+    def write(self, work: Any) -> None:
+        try:
+            self.store.write(work)
+        except OSError as error:
+            self.put("unrecorded", str(error))
+        else:
+            self.put("recorded")
+
+    def die(self) -> None:
+        self.disk.release()
+
+
+# ---- its form
+
+
+NUMBERS, TIMES, SIXTEEN = (
+    st.integers(0, 2**64 - 1),
+    st.integers(0, 2**62),
+    st.binary(min_size=16, max_size=16),
+)
+INTENTS = st.builds(Intent, NUMBERS, st.integers(0, 9), SIXTEEN, TIMES, TIMES, SIXTEEN)
+OUTCOMES = st.builds(Outcome, NUMBERS, st.integers(0, 3), st.binary(max_size=40))
+GROUPS = st.lists(st.tuples(st.lists(INTENTS, max_size=4), st.lists(OUTCOMES, max_size=4)), max_size=5)
+
+
+def _read(data: bytes, place: int = 0) -> list[Group]:
+    return [
+        form.group(payload) for _, payload, _ in form.frames(memoryview(data), place) if payload is not None
+    ]
+
+
+@given(GROUPS)
+@settings(derandomize=True, database=None)
+def test_what_is_written_is_read(groups: list[tuple[list[Intent], list[Outcome]]]) -> None:
+    assert _read(b"".join(form.frame(*group) for group in groups)) == [Group(*group) for group in groups]
+
+
+@given(GROUPS, st.data())
+@settings(derandomize=True, database=None, max_examples=300)
+def test_a_flipped_bit_or_a_cut_takes_its_own_group_and_no_other(groups: Any, data: st.DataObject) -> None:
+    parts = [form.frame(*group) for group in groups]
+    whole = b"".join(parts)
+    place = data.draw(st.integers(0, max(0, len(whole) - 1)))
+    if data.draw(st.booleans()):
+        harmed = whole[:place]
+    else:
+        flipped = bytearray(whole)
+        if whole:
+            flipped[place] ^= 1 << data.draw(st.integers(0, 7))
+        harmed = bytes(flipped)
+    kept, start = [], 0
+    for part, group in zip(parts, groups, strict=True):
+        if harmed[start : start + len(part)] == part:
+            kept.append(Group(*group))
+        start += len(part)
+    assert _read(harmed) == kept
+
+
+@given(st.binary(max_size=300))
+@settings(derandomize=True, database=None)
+def test_any_bytes_are_damaged_or_nothing(data: bytes) -> None:
+    assert _read(data) == []
+    with pytest.raises(Damaged):
+        form.read_head(data)
+
+
+@pytest.mark.parametrize(("head", "reason"), [
+    (form.head(STAGES, b"b" * 16)[:8] + b"\2\0" + form.head(STAGES, b"b" * 16)[10:], "form 2"),
+    (b"X" + form.head(STAGES, b"b" * 16)[1:], "no segment"),
+    (form.head(STAGES, b"b" * 16)[:-1] + b"!", "checksum"),
+])  # fmt: skip
+def test_a_segment_of_another_form_is_refused_with_the_reason(
+    head: bytes, reason: str, tmp_path: Path
+) -> None:
+    (tmp_path / "000000000001.ledger").write_bytes(head)
+    with pytest.raises(Damaged, match=reason):
+        Store(Disk(tmp_path), STAGES).recover(Book(1 << 20, 1 << 20, START, lambda _: None))
+
+
+def test_a_second_program_on_a_folder_is_told_so(tmp_path: Path) -> None:
+    first = Disk(tmp_path)
+    first.hold()
+    with pytest.raises(Held, match="another program"):
+        Disk(tmp_path).hold()
+    first.release()
+    Disk(tmp_path).hold()
+
+
+# ---- nothing starts before its intent is durable
+
+
+def test_a_booking_is_launched_once_its_intent_is_durable_a_lookup_at_once(tmp_path: Path) -> None:
+    desk = KeptDesk(tmp_path, cores=4)
+    desk.slow = True
+    read, booked = desk.send(1), desk.send(1, "mark")
+    desk.wait()
+    assert desk.launched() == [read]
+    (work,) = [effect[1] for effect in desk.effects if effect[0] == "write"]
+    desk.write(work)
+    assert desk.launched() == [read, booked]
+
+
+def test_what_waits_on_a_sync_goes_together_in_the_next(tmp_path: Path) -> None:
+    desk = KeptDesk(tmp_path, cores=16)
+    desk.slow = True
+    for place in range(9):
+        desk.send(place % 3, f"mark{place}")
+        desk.wait()
+    works = [effect[1] for effect in desk.effects if effect[0] == "write"]
+    assert [len(work.group.intents) for work in works] == [1]
+    desk.write(works[0])
+    works = [effect[1] for effect in desk.effects if effect[0] == "write"]
+    assert [len(work.group.intents) for work in works] == [1, 8]
+
+
+def test_a_sync_that_failed_once_starts_nothing_and_is_never_taken_for_durable(tmp_path: Path) -> None:
+    """Bookings are rejected with when to come back, lookups go on; the next segment serves again."""
+    desk = KeptDesk(tmp_path, cores=4)
+    desk.disk.at, desk.disk.how = desk.disk.calls + 4, "sync"  # begin, head, frame, sync
+    read, failed = desk.send(1), desk.send(2, "mark")
+    desk.wait(1 * MS)
+    refused = desk.send(3, "other")
+    desk.wait(20 * MS)
+    assert desk.launched() == [read]
+    assert [(effect[1], effect[4] > 0) for effect in desk.kinds("rejected")] == [(2, True), (3, True)]
+    desk.wait(300 * MS)
+    again = desk.send(2, "mark", again=True)
+    desk.wait()
+    assert desk.launched() == [read, again]
+    assert (failed, refused) == ("t2", "t3")
+    desk.die()
+    later = KeptDesk(tmp_path)
+    later.send(1, "other")
+    later.wait()
+    assert len(later.launched()) == 1  # its intent was told to be moot
+
+
+@pytest.mark.parametrize("how", ["full", "sync"])
+def test_a_disk_that_goes_on_failing_ends_nothing(tmp_path: Path, how: str) -> None:
+    desk = KeptDesk(tmp_path, cores=4)
+    desk.disk.how, desk.disk.always = how, True
+    for place in range(40):
+        desk.send(1, f"mark{place}")
+        read = desk.send(2)
+        desk.wait(100 * MS)
+        desk.end(read)
+        desk.wait(100 * MS)
+    assert len(desk.kinds("rejected")) == 40
+    assert len(desk.launched()) == 40
+    assert desk.disk.calls < 20  # tries are further and further apart
+    assert len(desk.kept.book.segments) < 3
+
+
+# ---- a kill at any point
+
+
+def _life(desk: KeptDesk, sent: list[str]) -> None:
+    for place in range(3):
+        name = desk.send(1, f"mark{place}", id=f"{len(sent)}-{place}")
+        sent.append(name)
+        desk.wait(6 * MS)
+        if place != 1 and name in desk.launched():
+            desk.end(name)
+        desk.wait(6 * MS)
+
+
+@pytest.mark.parametrize("left", [b"", b"another boot...."])
+@pytest.mark.parametrize("back", [-600, 0, 86_400])
+@pytest.mark.parametrize("at", range(1, 22))
+def test_after_a_kill_at_any_call_no_booking_runs_twice(
+    tmp_path: Path, at: int, back: int, left: bytes
+) -> None:
+    """The wall clock is set back, or on by a day, over the restart; or the machine started anew."""
+    desk = KeptDesk(tmp_path, cores=4)
+    desk.disk.at, desk.disk.how = at, "kill"
+    with suppress(KeyboardInterrupt):
+        _life(desk, [])
+    desk.die()
+    finished = {bytes(effect[3]) for effect in desk.kinds("finished")}
+    boot = START + 9 * SECOND if not left else 7 * SECOND
+    later = KeptDesk(tmp_path, cores=4, boot=boot, left=left, now=(1009 + back) * SECOND)
+    for place in range(3):
+        later.send(1, f"mark{place}", again=True)
+        later.wait(3 * SECOND)
+    again = {int(effect[1][1:]) - 1 for effect in later.kinds("start")}
+    assert not again & {int(name[-1]) for name in desk.launched()}
+    assert not later.kinds("rejected")
+    told = {bytes(effect[3]) for effect in later.kinds("finished")}
+    assert told <= finished
+    later.die()
+
+
+def test_a_repeat_after_a_restart_gets_the_stored_result(tmp_path: Path) -> None:
+    desk = KeptDesk(tmp_path)
+    name = desk.send(1, "mark")
+    desk.wait()
+    desk.end(name)
+    desk.wait()
+    desk.die()
+    later = KeptDesk(tmp_path, boot=START + 5 * SECOND)
+    later.send(1, "mark", again=True)
+    later.send(2, "mark", again=True)
+    later.send(3, "mark", b"a stranger's")
+    later.wait()
+    assert [(effect[1], bytes(effect[3])) for effect in later.kinds("finished")] == [
+        (1, b"result of t1"), (2, b"result of t1")]  # fmt: skip
+    assert later.launched() == ["t3"]
+
+
+@pytest.mark.parametrize("agent", ["tells its end", "tells nothing", "is new"])
+def test_an_intent_without_an_end_may_have_run(tmp_path: Path, agent: str) -> None:
+    desk = KeptDesk(tmp_path)
+    name = desk.send(1, "mark")
+    desk.wait()
+    desk.die()
+    later = KeptDesk(tmp_path, boot=START + SECOND, up=False)
+    later.put("agent_up", agent == "is new", 60 * SECOND)
+    if agent == "tells its end":
+        later.end(name)
+    later.send(1, "mark", id="later", again=True)
+    later.wait(3 * SECOND)
+    assert later.launched() == []
+    assert later.answers() == ["finished" if agent == "tells its end" else "abandoned"]
+    later.die()
+    third = KeptDesk(tmp_path, boot=START + 5 * SECOND)
+    third.send(1, "mark", id="third", again=True)
+    third.wait(3 * SECOND)
+    assert (third.launched(), third.answers()) == ([], later.answers())
+
+
+def test_past_its_window_it_is_forgotten_by_the_clock_that_nobody_sets(tmp_path: Path) -> None:
+    desk = KeptDesk(tmp_path)
+    desk.end(desk.send(1, "mark"))
+    desk.wait()
+    desk.die()
+    later = KeptDesk(tmp_path, boot=START + BOOKING.window + 20 * SECOND, now=900 * SECOND)
+    later.send(1, "mark", again=True)
+    later.wait()
+    assert len(later.launched()) == 1
+
+
+# ---- bounds
+
+
+def test_the_disk_is_bounded_and_old_segments_go(tmp_path: Path) -> None:
+    desk = KeptDesk(tmp_path, cores=16, disk=1 << 15)
+    most = 0
+    for place in range(600):
+        name = desk.send(place % 8, f"mark{place}")
+        desk.wait(6 * MS)
+        if name in desk.launched():
+            desk.end(name)
+        desk.wait(100 * MS)
+        most = max(most, sum(size for _, size in desk.disk.segments()))
+    assert most <= 1 << 15
+    assert desk.kept.book.refusals == 0
+    assert len(desk.launched()) > 500
+
+
+def test_at_the_bound_in_a_burst_bookings_are_rejected_and_later_taken(tmp_path: Path) -> None:
+    desk = KeptDesk(tmp_path, cores=16, disk=1 << 14, memory_kb=1e9)
+    for place in range(400):
+        name = desk.send(place % 8, f"mark{place}")
+        desk.wait(6 * MS)
+        if name in desk.launched():
+            desk.end(name)
+    refused = desk.kinds("rejected")
+    assert refused
+    assert desk.kept.book.phase == "full"
+    assert sum(size for _, size in desk.disk.segments()) <= 1 << 14
+    desk.send(1, "mark0", again=True)
+    desk.wait()
+    assert desk.answers()[-1] in ("finished", "abandoned")
+    desk.wait(40 * SECOND)
+    late = desk.send(1, "late")
+    desk.wait()
+    assert late in desk.launched()
+
+
+@pytest.mark.parametrize("at", range(1, 8))
+def test_compaction_leaves_out_what_is_over_and_survives_a_kill(tmp_path: Path, at: int) -> None:
+    disk = Troubled(tmp_path)
+    store, now = Store(disk, STAGES), START
+    book = Book(1 << 16, 1 << 16, now, lambda number: b"r" * 700)
+    for place in range(90):
+        span = 3600 * SECOND if place % 9 == 0 else SECOND
+        number = book.intend(now, 1, b"%016d" % place, span, b"")
+        assert number is not None
+        book.ended(now, number, "finished", b"r" * 700)
+        now += 100 * MS
+        work = book.work(now)
+        if work is not None:
+            if work.compaction:
+                disk.at, disk.how = disk.calls + at, "kill"
+            try:
+                store.write(work)
+            except KeyboardInterrupt:
+                break
+            book.done(now)
+    assert book.compactions
+    kept = Book(1 << 16, 1 << 16, now, lambda number: None)
+    Store(Disk(tmp_path), STAGES).recover(kept)
+    found = [one for one in kept.recovered() if one.left > 60 * SECOND]
+    assert len(found) >= place // 9
+    assert all(one.how == "finished" for one in found)
+
+
+def test_a_drain_writes_what_is_unsynced_before_it_ends(tmp_path: Path) -> None:
+    desk = KeptDesk(tmp_path)
+    name = desk.send(1, "mark")
+    desk.wait()
+    desk.slow = True
+    desk.put("leave", desk.now + 3 * SECOND)
+    desk.end(name)
+    desk.put("ended", 1, "")
+    desk.wait(SECOND)
+    assert not desk.kinds("end")
+    desk.write([effect[1] for effect in desk.effects if effect[0] == "write"][-1])
+    desk.slow = False
+    desk.wait(SECOND)
+    assert desk.kinds("end")
+
+
+# ---- the file of settings
+
+
+def test_all_faults_of_a_file_are_told_at_once_with_their_lines() -> None:
+    text = "ledger folder relative\nledger disk 9X\nledger disk 1M\nkiln heat 3\nledger colour red\nledger\n'"
+    with pytest.raises(Faulty) as caught:
+        check("t.conf", text)
+    assert [line.split(": ")[0] for line in caught.value.lines] == [
+        f"t.conf:{number}" for number in (1, 2, 3, 4, 5, 6, 7)
+    ]
+    with pytest.raises(Faulty, match=r"t\.conf:1: ledger folder is missing"):
+        check("t.conf", "ledger disk 64M")
+
+
+def test_a_file_is_read() -> None:
+    conf = check("t.conf", "# new parts\nledger folder '/var/lib/a b'  # here\nledger disk 8M\n")
+    assert conf.ledger is not None
+    assert (str(conf.ledger.folder), conf.ledger.disk, conf.ledger.results) == ("/var/lib/a b", 8 << 20, None)
+    assert check("t.conf", "").ledger is None
+
+
+# ---- the program
+
+
+def test_a_killed_program_answers_a_repeat_from_its_ledger(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    conf = tmp_path / "t.conf"
+    conf.write_text(f"ledger folder {tmp_path}/kept\n")
+    monkeypatch.setenv("THISTLELINE_CONF", str(conf))
+    agent, announce = FakeAgent(), FakeAnnounce()
+    first = Instance(tmp_path, agent, announce)
+    try:
+        first.until("phase", phase="serving")
+        with first.connect() as link:
+            link.sendall(process(1, booking(1, "mark")))
+            agent.hear()
+            launch = agent.hear()
+            agent.end(launch[1], b"Friday at noon")
+            assert answered(next(frames(link)))[3][0][1] == b"Friday at noon"
+            link.sendall(process(2, booking(2, "other")))
+            agent.hear()  # it is launched, so its intent and the outcome before it are durable
+    finally:
+        first.close()
+    second = Instance(tmp_path, agent, announce)
+    try:
+        assert second.until("ledger", state="recovered")["effects"] == 2
+        second.until("phase", phase="serving")
+        with second.connect() as link:
+            link.sendall(process(1, booking(3, "mark", dup="1")))
+            assert answered(next(frames(link)))[3][0][1] == b"Friday at noon"
+        assert second.leave() == 0
+    finally:
+        second.close()
--- a/thistleline/__main__.py
+++ b/thistleline/__main__.py
@@ -18,7 +18,7 @@
     import anyio
 
     from thistleline.life.log import complain
-    from thistleline.life.plate import read_plate
+    from thistleline.life.plate import Unusable, read_plate
     from thistleline.life.service import Service
     from thistleline.wire.bench import Malformed
 
@@ -27,8 +27,21 @@
     except Malformed as error:
         complain(str(error))
         return 2
+    conf = None
+    if os.environ.get("THISTLELINE_CONF"):
+        from thistleline.conf.schema import Faulty, read_conf
+
+        try:
+            conf = read_conf(os.environ["THISTLELINE_CONF"])
+        except Faulty as faulty:
+            for line in faulty.lines:
+                complain(line)
+            return 2
     try:
-        anyio.run(Service(plate).run)
+        anyio.run(Service(plate, conf).run)
+    except Unusable as error:
+        complain(str(error))
+        return 2
     except OSError as error:
         complain(f"{plate.name} can't listen on {plate.listen[0]}:{plate.listen[1]}: {error.strerror}")
         return 1
--- a/thistleline/interface.py
+++ b/thistleline/interface.py
@@ -8,6 +8,7 @@
     ("gone", id)                            nobody waits for the task any more
     ("wants_call", id)                      a running task stands at a call to what lies below
     ("call_over", id, how, took)            a call ended; how: HOW_CALLS_END
+    ("remembered", id, until)               an effect of an earlier life has run or may have; known until then
     ("leave", by)                           notice to leave; the process is stopped at the clock time `by`
     ("bell", name, gauges)                  an alarm is due; gauges by name, such as "on_cores"
 """
--- /dev/null
+++ b/thistleline/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""What fingerprinted tasks did, kept over restarts: its form on disk, its decisions, its files."""
--- /dev/null
+++ b/thistleline/ledger/store.py
@@ -0,0 +1,106 @@
+"""Carries the book's works out, and reads back what an earlier life left. All I/O of the ledger.
+
+`write` blocks for as long as the disk takes; the server calls it on a thread of its own, so that neither a
+slow disk nor a sync stalls another task.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from itertools import islice
+from typing import NamedTuple
+
+from thistleline.ledger import form
+from thistleline.ledger.book import Book, Work
+from thistleline.ledger.disk import Disk, boot_id
+
+RECORDS_A_FRAME, BYTES_A_FRAME = 4096, 1024 * 1024
+
+
+class Reading(NamedTuple):
+    """What became of one segment."""
+
+    segment: int
+    size: int
+    intents: int
+    outcomes: int
+    torn: bool  # its end is missing, as a kill leaves it
+    damaged: int  # bytes in its middle that can't be read
+    refused: str  # why none of it was read
+
+
+class Store:
+    def __init__(self, disk: Disk, stages: tuple[str, ...], sync: bool = True) -> None:
+        """`sync` off is for the laboratory, to show that its oracle finds the loss."""
+        self.disk, self.stages, self.sync = disk, stages, sync
+        self.boot = boot_id()
+
+    def write(self, work: Work) -> None:
+        """Returns once the work is durable; raises OSError where that can't be said. A segment that fails as
+        it is made is removed: guards a full disk against one more file at each try."""
+        disk = self.disk
+        try:
+            if work.fresh:
+                disk.begin(work.segment)
+                disk.append(form.head(self.stages, self.boot))
+            for frame in _cut(work):
+                disk.append(frame)
+            if self.sync:
+                disk.sync()
+                if work.fresh:
+                    disk.sync_folder()
+        except OSError:
+            if work.fresh:
+                with suppress(OSError):
+                    disk.remove(work.segment)
+            raise
+        for number in work.drops:
+            with suppress(OSError):
+                disk.remove(number)  # read again at the next start, and dropped then
+
+    def recover(self, book: Book, progress: Callable[[Reading], None] = lambda _: None) -> None:
+        """Tells the book all that the folder holds, a segment at a time. A segment of another form is an
+        error: raises form.Damaged, and nothing is started on half of what is known."""
+        for number, size in self.disk.segments():
+            book.found_segment(number, size)
+            data = memoryview(self.disk.read(number))
+            progress(self._read(book, number, data))
+        book.forget_expired()
+
+    def _read(self, book: Book, number: int, data: memoryview) -> Reading:
+        if len(data) < form.HEAD_LEAST:
+            return Reading(number, len(data), 0, 0, True, 0, "")  # a kill as it was made
+        try:
+            names, boot, place = form.read_head(data)
+        except form.Damaged as error:
+            raise form.Damaged(f"{self.disk.path(number)}: {error}") from error
+        here = {name: place for place, name in enumerate(self.stages)}
+        stages = [here.get(name) for name in names]
+        same = boot == self.boot and any(boot)
+        intents = outcomes = damaged = 0
+        torn = False
+        for start, payload, end in form.frames(data, place):
+            if payload is None:
+                torn = end == len(data)
+                damaged += 0 if torn else end - start
+                continue
+            group = form.group(payload)
+            book.found(number, stages, same, group)
+            intents, outcomes = intents + len(group.intents), outcomes + len(group.outcomes)
+        return Reading(number, len(data), intents, outcomes, torn, damaged, "")
+
+
+def _cut(work: Work) -> Iterator[bytes]:
+    """Frames within their bounds, intents before the outcomes that may belong to them."""
+    intents, outcomes = iter(work.group.intents), iter(work.group.outcomes)
+    while part := list(islice(intents, RECORDS_A_FRAME)):
+        yield form.frame(part, [])
+    held: list[form.Outcome] = []
+    size = 0
+    for outcome in outcomes:
+        held.append(outcome)
+        size += len(outcome.result)
+        if len(held) >= RECORDS_A_FRAME or size >= BYTES_A_FRAME:
+            yield form.frame([], held)
+            held, size = [], 0
+    if held:
+        yield form.frame([], held)
--- /dev/null
+++ b/thistleline/life/keeper.py
@@ -0,0 +1,92 @@
+"""The ledger's writer: one work at a time on a thread, and recovery before the server listens."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.to_thread
+from anyio.abc import TaskGroup
+
+from thistleline.conf.schema import Ledger
+from thistleline.ledger.book import Book, Found, Work
+from thistleline.ledger.disk import Disk, Held, boot_now
+from thistleline.ledger.form import Damaged
+from thistleline.ledger.store import Reading, Store
+from thistleline.life.plate import Unusable
+from thistleline.memory.keeping import KeepingReducer
+
+MS = 1_000_000
+PROGRESS_EVERY = 1000 * MS
+
+
+class Keeper:
+    def __init__(self, store: Store, take: Callable[..., None], group: TaskGroup) -> None:
+        self.store, self.take, self.group = store, take, group
+
+    def effects(self) -> dict[str, Callable[..., None]]:
+        """What it carries out, by the kind of effect."""
+        return {"write": self.write}
+
+    def write(self, work: Work) -> None:
+        self.group.start_soon(self._write, work)
+
+    async def _write(self, work: Work) -> None:
+        why = ""
+        try:
+            await anyio.to_thread.run_sync(self.store.write, work)
+        except OSError as error:
+            why = error.strerror or str(error)
+        except Exception as error:  # whatever a disk brings ends no more than this work
+            why = f"{type(error).__name__}: {error}"
+        if why:
+            self.take("unrecorded", why)
+        else:
+            self.take("recorded")
+
+
+def recover(store: Store, book: Book, tell: Callable[..., None]) -> list[Found]:
+    """All that earlier lives left; blocks. Raises Unusable."""
+    begun = told = boot_now()
+    read = size = 0
+
+    def progress(reading: Reading) -> None:
+        nonlocal told, read, size
+        read, size = read + 1, size + reading.size
+        if reading.damaged or reading.torn:
+            facts = {"segment": reading.segment, "bytes": reading.damaged, "torn": reading.torn}
+            tell("ledger", state="damaged", **facts)
+        if boot_now() - told >= PROGRESS_EVERY:
+            told = boot_now()
+            tell("ledger", state="recovering", segments=read, bytes=size, effects=len(book.effects))
+
+    try:
+        store.recover(book, progress)
+    except (Damaged, OSError) as error:
+        raise Unusable(f"the ledger can't be read: {error}") from error
+    found = list(book.recovered())
+    unsettled = sum(1 for effect in found if effect.how is None)
+    facts = {"effects": len(found), "unsettled": unsettled, "segments": read, "bytes": size}
+    tell("ledger", state="recovered", ms=(boot_now() - begun) // MS, **facts)
+    return found
+
+
+def furnish(
+    conf: Ledger, told: tuple[Any, ...], take: Callable[..., None], tell: Callable[..., None]
+) -> tuple[KeepingReducer, Callable[[], list[Found]], Callable[[TaskGroup], dict[str, Callable[..., None]]]]:
+    """Takes the folder: the reducer, what recovers it, and what makes the writer's effects in a task group.
+    `told` is what any reducer is told, its bench first and the time seventh. Raises Unusable."""
+    bench, now = told[0], told[6]
+    disk = Disk(conf.folder)
+    try:
+        disk.hold()
+    except Held as error:
+        raise Unusable(str(error)) from error
+    except OSError as error:
+        raise Unusable(f"the ledger can't be kept in {conf.folder}: {error.strerror}") from error
+    store = Store(disk, tuple(stage.name for stage in bench.stages))
+    reducer = KeepingReducer(*told, disk_bound=conf.disk, boot_ahead=boot_now() - now)
+    return (
+        reducer,
+        lambda: recover(store, reducer.book, tell),
+        lambda group: Keeper(store, take, group).effects(),
+    )
--- a/thistleline/life/plate.py
+++ b/thistleline/life/plate.py
@@ -14,6 +14,10 @@
 MS = 1_000_000
 
 
+class Unusable(Exception):
+    """What the program is to stand on can't be used; says why in a line."""
+
+
 @dataclass(frozen=True, slots=True)
 class Plate:
     name: str
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -7,10 +7,11 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import fields, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import anyio.lowlevel
+import anyio.to_thread
 
 from thistleline.life.announcer import Announcer
 from thistleline.life.clock import Clock
@@ -23,6 +24,9 @@
 from thistleline.wire.bench import Malformed
 from thistleline.wire.thrift import Stubs
 
+if TYPE_CHECKING:
+    from thistleline.conf.schema import Conf
+
 MS, SECOND = 1_000_000, 1_000_000_000
 RESERVE = 24  # descriptors that are no client stub's: listener, links, log, the loop's own
 CONNECTION_COST = 32 * 1024  # bytes of an open connection, measured at 900 of them
@@ -33,21 +37,29 @@
 
 
 class Service:
-    def __init__(self, plate: Plate) -> None:
+    def __init__(self, plate: Plate, conf: "Conf | None" = None) -> None:
         self.plate = plate
         self.clock = Clock()
         self.log = Log(plate.name)
         self.phases = Phases()
-        self.reducer = Reducer(
+        told = (
             plate.bench,
             plate.gauges,
             plate.granularity,
             max(1, min(plate.descriptors - RESERVE, plate.memory // 4 // CONNECTION_COST)),
-            plate.memory // 8,
-            plate.seed,
-            self.clock.now(),
-            self.phases,
         )
+        rest = (plate.seed, self.clock.now(), self.phases)
+        self.reducer: Reducer
+        self.recover: Callable[[], Any] | None = None
+        if conf is not None and conf.ledger is not None:
+            from thistleline.life.keeper import furnish
+
+            results = plate.memory // 8 if conf.ledger.results is None else conf.ledger.results
+            self.reducer, self.recover, self.keeper = furnish(
+                conf.ledger, (*told, results, *rest), self.take, self.note
+            )
+        else:
+            self.reducer = Reducer(*told, plate.memory // 8, *rest)
         self.woken = anyio.Event()
         self.sleeps_until = 0
         self.busy = False
@@ -56,17 +68,23 @@
         self.late = self.longest = self.delay = 0  # the worst since the last figures
 
     async def run(self) -> None:
-        """Raises OSError where it can't listen."""
+        """Raises OSError where it can't listen; what the ledger's recovery raises."""
+        # Until it knows what ran it does not listen: a refused connection proves that nothing ran.
+        found = await anyio.to_thread.run_sync(self.recover) if self.recover is not None else None
         listener = listen(self.plate.listen)
         async with anyio.create_task_group() as group:
             front = self.front = Front(listener, Stubs(self.plate.bench), self.take_task, group)
             farm = self.farm = Farm(self.plate.agent, self.take, group)
             announcer = self.announcer = Announcer(self.plate.name, self.plate.announce, group, self.note)
+            if found is not None:
+                self.does |= self.keeper(group)
             for effects in (front.effects(), farm.effects(), announcer.effects()):
                 self.does |= effects
             self.does |= {"log": self.told, "end": group.cancel_scope.cancel}
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
                 signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+                if found is not None:
+                    self.take("recovered", found)
                 self.take("listening")
                 self.note("started", **self.plate.facts())
                 group.start_soon(front.accept)
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -29,12 +29,11 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import replace
-from hashlib import blake2b
 from typing import Any
 
 from thistleline.interface import Bench, CameIn, Task
 from thistleline.life.phases import Phases
-from thistleline.memory.tables import Alarms, Connection, Entries, Key, Run, Try
+from thistleline.memory.tables import Alarms, Connection, Entries, Key, Run, Try, key_of
 from thistleline.policy import Policy
 
 SECOND = 1_000_000_000
@@ -361,7 +360,7 @@
             self._offended(name, "nonsense", id=task.id, text=nonsense)
             return
         self._count("tasks")
-        key = None if word is None else (task.stage, word, blake2b(body, digest_size=16).digest())
+        key = None if word is None else key_of(task.stage, word, body)
         held = Try(name, seq, task.id, task.stage, min(task.reached, self.now), key, bytes(body))
         repeats = None if key is None else self._repeated(key, held.since)
         self.names += 1
@@ -469,13 +468,16 @@
         if self.phases.name == "awaiting agent":
             self.phases.move("serving")
             self._log("phase", phase=self.phases.name)
-        if not self.tries and not self.runs and not self.phases.leaving:
+        if self._untouched() and not self.phases.leaving:
             # Only the agent knows how long the machine has been up and whether it began cold.
             self.bench = replace(self.bench, fresh=fresh)
             self.alarms, self.ringing, self.came_in = Alarms(), [], []
             self.module = Policy(self.bench, self.seed, self.now - age)
             self._call_module()
 
+    def _untouched(self) -> bool:
+        return not self.tries and not self.runs
+
     def _agent_lost(self, why: str) -> None:
         if self.linked:
             self._log("agent", state="lost", why=why, runs=len(self.runs))
@@ -559,6 +561,10 @@
                 self._count("doubtful")
                 self._ended_run(task, "failed", 0, b"")
 
+    def _launch(self, task: str, run: Run) -> None:
+        if self.linked:
+            self._send(run)
+
     def _send(self, run: Run) -> None:
         run.sent, run.measures = True, self.measures
         self.effects.append(("start", run.id, self.bench.stages[run.stage].name, run.body))
@@ -607,8 +613,7 @@
             window = held.since + self.bench.stages[held.stage].window
             entry = self.entries.by_key.get(held.key) or self.entries.put(held.key, task, window)
             entry.ran, entry.how = task, None
-        if self.linked:
-            self._send(run)
+        self._launch(task, run)
 
     def stop(self, task: str) -> None:
         run = self.runs.get(task)
--- a/thistleline/memory/tables.py
+++ b/thistleline/memory/tables.py
@@ -1,11 +1,20 @@
 """The tables of what is in hand. Only the reducer changes them."""
 
 from collections import OrderedDict
+from hashlib import blake2b
 from heapq import heappop, heappush
 
-# Stage, the mark or subject by which repeats are known, and the body's digest: all tries of one task carry
-# the same body. Guards against a stranger who has a mark: it joins no run and gets no kept result.
-Key = tuple[int, str, bytes]
+# Stage, and a digest of the mark or subject by which repeats are known and of the body: all tries of one task
+# carry the same body. Guards against a stranger who has a mark: it joins no run and gets no kept result.
+Key = tuple[int, bytes]
+
+
+def key_of(stage: int, word: str, body: bytes | memoryview) -> Key:
+    known = word.encode()
+    digest = blake2b(len(known).to_bytes(4, "big"), digest_size=16)
+    digest.update(known)
+    digest.update(body)
+    return stage, digest.digest()
 
 
 class Connection:
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -154,6 +154,11 @@
                     self.at_call.append(held)
             elif kind == "call_over":
                 self._call_over(item[1], item[2], out)
+            elif kind == "remembered":
+                # Guards against an effect twice over a restart: it has run, whoever was told of it.
+                effect = self.effects[item[1]] = Effect(item[2])
+                effect.ran = True
+                self.entries[item[1]] = item[2]
             elif kind == "leave":
                 # Callers learn late who leaves and who is new, and few others can't take one's part at once.
                 # Guards against cores idle through the grace while these and cold successors are jammed.
