--- a/tests/host.py
+++ b/tests/host.py
@@ -20,7 +20,7 @@
 from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer
 
 from thistleline.interface import Bench, Owner, Stage, Task
-from thistleline.life.phases import Phases
+from thistleline.memory.phases import Phases
 from thistleline.memory.reducer import Reducer
 from thistleline.policy import MS, SECOND, Policy
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,11 +1,14 @@
 """The ledger: its form, its book, its files under faults, and a server that starts anew on it."""
 
 import errno
+import json
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
+import anyio
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -21,14 +24,18 @@
     frames,
     process,
 )
+from thistleline.cli.main import entry
 from thistleline.conf.schema import Faulty, check
+from thistleline.lab.caller import Told
+from thistleline.lab.farm import FarmStandIn, Ran
+from thistleline.lab.ledger import judge, storm
 from thistleline.ledger import form
 from thistleline.ledger.book import Book
 from thistleline.ledger.disk import Disk, Held
 from thistleline.ledger.form import Damaged, Group, Intent, Outcome
 from thistleline.ledger.store import Store
-from thistleline.life.phases import Phases
 from thistleline.memory.keeping import KeepingReducer
+from thistleline.memory.phases import Phases
 from thistleline.policy import MS, SECOND
 
 STAGES = ("lookup", "booking")
@@ -97,8 +104,7 @@
         self.store = Store(self.disk, STAGES)
         self.store.boot = left or self.store.boot
         self.slow = False
-        self.store.recover(made.book)
-        self.put("recovered", list(made.book.recovered()))
+        self.put("recovered", self.store.recover(made.book))
         self.put("listening")
         if up:
             self.put("agent_up", False, 60 * SECOND)
@@ -412,8 +418,7 @@
             book.done(now)
     assert book.compactions
     kept = Book(1 << 16, 1 << 16, now, lambda number: None)
-    Store(Disk(tmp_path), STAGES).recover(kept)
-    found = [one for one in kept.recovered() if one.left > 60 * SECOND]
+    found = [one for one in Store(Disk(tmp_path), STAGES).recover(kept) if one.left > 60 * SECOND]
     assert len(found) >= place // 9
     assert all(one.how == "finished" for one in found)
 
@@ -488,3 +493,67 @@
         assert second.leave() == 0
     finally:
         second.close()
+
+
+# ---- the command line
+
+
+def test_the_commands_read_what_a_server_left(tmp_path: Path) -> None:
+    desk = KeptDesk(tmp_path / "kept")
+    for place in range(3):
+        name = desk.send(1, f"mark{place}")
+        desk.wait()
+        desk.end(name)
+    desk.wait()
+    run, folder = CliRunner().invoke, str(tmp_path / "kept")
+    held = run(entry, ["ledger", "verify", folder])
+    assert held.exit_code == 1
+    assert "another program" in held.output
+    desk.die()
+    listed = [
+        json.loads(line) for line in run(entry, ["ledger", "inspect", folder, "--json"]).output.splitlines()
+    ]
+    assert [one["how"] for one in listed] == ["finished"] * 3
+    assert run(entry, ["ledger", "compact", folder]).exit_code == 0
+    assert len(list((tmp_path / "kept").glob("*.ledger"))) == 1
+    again = [
+        json.loads(line) for line in run(entry, ["ledger", "inspect", folder, "--json"]).output.splitlines()
+    ]
+    assert [(one["key"], one["result_bytes"]) for one in again] == [
+        (one["key"], one["result_bytes"]) for one in listed
+    ]
+    (path,) = (tmp_path / "kept").glob("*.ledger")
+    harmed = bytearray(path.read_bytes())
+    harmed[len(harmed) // 2] ^= 4
+    path.write_bytes(bytes(harmed) + form.frame([], []))
+    assert run(entry, ["ledger", "verify", folder]).exit_code == 1
+
+
+def test_check_config_tells_every_fault_and_fails(tmp_path: Path) -> None:
+    (tmp_path / "t.conf").write_text("ledger folder x\nledger disk y\n")
+    told = CliRunner().invoke(entry, ["check-config", str(tmp_path / "t.conf")])
+    assert (told.exit_code, told.output.count("t.conf:")) == (2, 2)
+
+
+@pytest.mark.parametrize(("runs", "kind", "wrong"), [
+    ([0.0, 5.0], "finished", "run_twice"),
+    ([0.0], "rejected", "rejected_after_run"),
+    ([], "finished", "acknowledged_and_lost"),
+    ([0.0, 10.0], "finished", ""),
+])  # fmt: skip
+def test_the_oracle_of_the_laboratory_can_fail(runs: list[float], kind: str, wrong: str) -> None:
+    farm = FarmStandIn(1, (0.0, 0.0))
+    farm.ran = {b"body": [Ran(b"body", "t", began, b"result") for began in runs]} if runs else {}
+    told = Told("mark", b"body", kind, b"result" if kind == "finished" else {}, 1.0, 1.5)
+    figures = judge(farm, [told])
+    faults = ("run_twice", "rejected_after_run", "acknowledged_and_lost", "another_result")
+    assert [name for name in faults if figures[name]] == ([wrong] if wrong else [])
+
+
+def test_kills_under_load_run_nothing_twice(tmp_path: Path) -> None:
+    """The laboratory's storm in small: real processes, killed at points and at random, on a failing disk."""
+    figures = anyio.run(storm, tmp_path, 3, 100, 6, True, lambda text: None)
+    wrong = ("run_twice", "rejected_after_run", "acknowledged_and_lost", "another_result", "faults")
+    assert [figures[name] for name in wrong] == [0] * 5
+    assert figures["answered_all"]
+    assert figures["bookings_run"] > 50
--- a/thistleline/__main__.py
+++ b/thistleline/__main__.py
@@ -6,6 +6,11 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1:
+        from thistleline.cli.main import main as command
+
+        return int(command(sys.argv[1:]) or 0)
+
     def leave(*_: Any) -> None:
         raise SystemExit(0)  # nothing listens yet, so nothing is owed
 
--- /dev/null
+++ b/thistleline/cli/main.py
@@ -0,0 +1,124 @@
+"""`thistleline SUB ...`, also as `python -m thistleline SUB ...`."""
+
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from thistleline.conf.schema import Faulty, read_conf
+
+
+@click.group()
+def entry() -> None:
+    """Overload control inside each server of a fleet."""
+
+
+@entry.command()
+@click.option("--plate", type=click.Path(), help="The server's configuration, else ROUTER_CONFIG.")
+@click.option("--conf", type=click.Path(), help="Settings of the new parts, else THISTLELINE_CONF.")
+def serve(plate: str | None, conf: str | None) -> None:
+    """Run one server in the foreground."""
+    for name, path in (("ROUTER_CONFIG", plate), ("THISTLELINE_CONF", conf)):
+        if path is not None:
+            os.environ[name] = path
+    os.execv(sys.executable, [sys.executable, "-m", "thistleline"])
+
+
+@entry.command("check-config")
+@click.argument("file", type=click.Path())
+def check_config(file: str) -> None:
+    """Check a file of settings; every fault with its line, exit code 2 if there are any."""
+    try:
+        conf = read_conf(file)
+    except Faulty as faulty:
+        for line in faulty.lines:
+            click.echo(line, err=True)
+        raise SystemExit(2) from faulty
+    click.echo(f"{file}: {conf}")
+
+
+@entry.group()
+def ledger() -> None:
+    """Look at a ledger's folder while no server has it."""
+
+
+@ledger.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="One JSON line an effect.")
+def inspect(folder: Path, as_json: bool) -> None:
+    """List the effects that a server would find there."""
+    from thistleline.cli.ledger import look
+
+    with look(folder) as (_, found, _):
+        for one in found:
+            facts = {
+                "number": one.number,
+                "stage": one.stage,
+                "key": one.digest.hex(),
+                "id": one.id.decode("ascii", "replace"),
+                "left_ms": one.left // 1_000_000,
+                "how": one.how,
+                "result_bytes": None if one.result is None else len(one.result),
+            }
+            words = "  ".join(f"{name} {value}" for name, value in facts.items())
+            click.echo(json.dumps(facts) if as_json else words)
+
+
+@ledger.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+def verify(folder: Path) -> None:
+    """Read every segment; exit code 1 where bytes in the middle of one can't be read."""
+    from thistleline.cli.ledger import look
+
+    with look(folder) as (book, _, readings):
+        for one in readings:
+            state = "damaged" if one.damaged else ("torn at its end" if one.torn else "whole")
+            click.echo(f"segment {one.segment}: {one.size} bytes, {one.intents} intents, "
+                       f"{one.outcomes} outcomes, {state}, {one.damaged} bytes unread")  # fmt: skip
+        click.echo(f"{len(book.effects)} effects still matter")
+        if any(one.damaged for one in readings):
+            raise SystemExit(1)
+
+
+@ledger.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+def compact(folder: Path) -> None:
+    """Write what still matters into one segment and remove the others."""
+    from thistleline.cli.ledger import look, rewrite
+
+    with look(folder) as (book, found, readings):
+        before = sum(one.size for one in readings)
+        click.echo(
+            f"{before} bytes before, {rewrite(folder, book, found)} after, {len(book.effects)} effects"
+        )
+
+
+@entry.command()
+@click.argument("name", type=click.Choice(["ledger"]))
+@click.option("--quick", is_flag=True, help="A tenth, under a minute.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "file", type=click.Path(), help="Keep the figures there.")
+def lab(name: str, quick: bool, seed: int, file: str | None) -> None:
+    """Run a measurement: a table, one JSON line, exit code 1 if a bar is missed."""
+    from thistleline.lab import ledger as measurement
+
+    told = measurement.run(quick, seed, lambda text: click.echo(text, err=True))
+    for part, figures in told["figures"].items():
+        click.echo(part)
+        for figure, value in figures.items():
+            click.echo(f"  {figure:28} {value}")
+    for bar, held in told["bars"].items():
+        click.echo(f"{'held  ' if held else 'MISSED'} {bar}")
+    line = json.dumps({"lab": name, "quick": quick, "seed": seed, **told})
+    click.echo(line)
+    if file is not None:
+        Path(file).write_text(line + "\n")
+    if not told["held"]:
+        raise SystemExit(1)
+
+
+def main(words: list[str]) -> Any:
+    return entry.main(args=words, prog_name="thistleline")
--- /dev/null
+++ b/thistleline/lab/server.py
@@ -0,0 +1,113 @@
+"""The server itself with a fault built in: `python -m thistleline.lab.server`, told by LAB_FAULT.
+
+    {"kill": [point, times]}    ends at once the so-many-th time that a point is passed; points: an input
+                                "in:KIND", an effect "before:KIND" or "after:KIND"
+    {"disk": how, "at": n}      the n-th sync: "once" fails, "slow" takes 2 s, "full" and "read-only" fail
+                                from there on for a second
+    {"sync": false}             the sync is left out
+
+What was not synced is lost with the program, as with the machine: the disk here writes at the sync.
+"""
+
+import errno
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from thistleline.conf.schema import read_conf
+from thistleline.ledger import store
+from thistleline.ledger.disk import Disk
+from thistleline.life import keeper
+from thistleline.life.plate import read_plate
+from thistleline.life.service import Service
+
+LEFT_OUT_BOUND = 64 * 1024  # without a sync the machine writes on some day: once so much lies there
+
+
+class LabDisk(Disk):
+    fault: dict[str, Any]
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.unsynced = bytearray()
+        self.syncs = 0
+        self.until = 0.0
+
+    def begin(self, number: int) -> None:
+        self._out()
+        super().begin(number)
+
+    def append(self, data: bytes) -> None:
+        self.unsynced += data
+        if len(self.unsynced) > LEFT_OUT_BOUND and self.fault.get("sync") is False:
+            self._out()
+
+    def sync(self) -> None:
+        self.syncs += 1
+        how = self.fault.get("disk")
+        if how is not None and self.syncs == self.fault["at"]:
+            if how == "slow":
+                time.sleep(2.0)
+            else:
+                self.until = time.monotonic() + (0.0 if how == "once" else 1.0)
+                self._fail(how)
+        if time.monotonic() < self.until:
+            self._fail(how)
+        self._out()
+        super().sync()
+
+    def _fail(self, how: str | None) -> None:
+        self.unsynced.clear()
+        code = {"full": errno.ENOSPC, "read-only": errno.EROFS}.get(str(how), errno.EIO)
+        raise OSError(code, os.strerror(code))
+
+    def _out(self) -> None:
+        if self.unsynced and self.file >= 0:
+            super().append(bytes(self.unsynced))
+        self.unsynced.clear()
+
+
+class LabService(Service):
+    fault: dict[str, Any]
+
+    def _pass(self, point: str) -> None:
+        kill = self.fault.get("kill")
+        if kill is not None and kill[0] == point:
+            kill[1] -= 1
+            if kill[1] <= 0:
+                os.kill(os.getpid(), signal.SIGKILL)
+
+    def take(self, kind: str, *told: Any) -> None:
+        self._pass(f"in:{kind}")
+        super().take(kind, *told)
+
+    def _carry_out(self, effect: tuple[Any, ...]) -> None:
+        self._pass(f"before:{effect[0]}")
+        super()._carry_out(effect)
+        self._pass(f"after:{effect[0]}")
+
+
+def main() -> int:
+    fault = json.loads(os.environ.get("LAB_FAULT", "{}"))
+    LabDisk.fault = LabService.fault = fault
+    setattr(keeper, "Disk", LabDisk)  # noqa: B010
+    if fault.get("sync") is False:
+        made = store.Store.__init__
+        setattr(store.Store, "__init__", lambda self, disk, names: made(self, disk, names, False))  # noqa: B010
+    if fault.get("each"):
+        from thistleline.ledger import book
+
+        book.GROUP_BOUND = 1
+    named = os.environ.get("THISTLELINE_CONF")
+    anyio.run(LabService(read_plate(os.environ), read_conf(named) if named else None).run)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/thistleline/ledger/book.py
+++ b/thistleline/ledger/book.py
@@ -221,16 +221,23 @@
         """A group as it was read, segments in the order of their numbers. `stages`: the place here of each
         stage of the segment, none where it is gone: nothing can repeat what belonged to it."""
         held, now, effects = self.segments[segment], self.now, self.effects
+        latest, known_stages = held.until, len(stages)
         for intent in group.intents:
-            self.numbers = max(self.numbers, intent.number)
-            stage = stages[intent.stage] if intent.stage < len(stages) else None
-            until = min(intent.until, now + intent.span) if same_boot else now + intent.span
+            number, at, _, until, span, _ = intent
+            stage = stages[at] if at < known_stages else None
+            if not same_boot or until > now + span:
+                until = now + span
             if stage is None or until <= now:
                 continue
-            held.until = max(held.until, until)
-            if intent.number not in effects:  # else a copy, and its outcome known
-                effect = effects[intent.number] = Effect(intent._replace(stage=stage, until=until))
+            if until > latest:
+                latest = until
+            if number not in effects:  # else a copy, and its outcome known
+                if stage != at or until != intent[3]:
+                    intent = intent._replace(stage=stage, until=until)
+                effect = effects[number] = Effect(intent)
                 effect.durable = True
+        held.until = latest
+        self.numbers = max(self.numbers, max((one.number for one in group.intents), default=0))
         for number, how, result in group.outcomes:
             known = effects.get(number)
             if known is None:
--- a/thistleline/ledger/store.py
+++ b/thistleline/ledger/store.py
@@ -4,13 +4,14 @@
 slow disk nor a sync stalls another task.
 """
 
+import gc
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from itertools import islice
 from typing import NamedTuple
 
 from thistleline.ledger import form
-from thistleline.ledger.book import Book, Work
+from thistleline.ledger.book import Book, Found, Work
 from thistleline.ledger.disk import Disk, boot_id
 
 RECORDS_A_FRAME, BYTES_A_FRAME = 4096, 1024 * 1024
@@ -57,14 +58,21 @@
             with suppress(OSError):
                 disk.remove(number)  # read again at the next start, and dropped then
 
-    def recover(self, book: Book, progress: Callable[[Reading], None] = lambda _: None) -> None:
-        """Tells the book all that the folder holds, a segment at a time. A segment of another form is an
-        error: raises form.Damaged, and nothing is started on half of what is known."""
-        for number, size in self.disk.segments():
-            book.found_segment(number, size)
-            data = memoryview(self.disk.read(number))
-            progress(self._read(book, number, data))
-        book.forget_expired()
+    def recover(self, book: Book, progress: Callable[[Reading], None] = lambda _: None) -> list[Found]:
+        """Tells the book all that the folder holds, a segment at a time; returns what matters. A segment of
+        another form is an error: raises form.Damaged, and nothing is started on half of what is known."""
+        collects = gc.isenabled()
+        gc.disable()  # all that is made here stays; guards against looking through it again and again
+        try:
+            for number, size in self.disk.segments():
+                book.found_segment(number, size)
+                data = memoryview(self.disk.read(number))
+                progress(self._read(book, number, data))
+            book.forget_expired()
+            return list(book.recovered())
+        finally:
+            if collects:
+                gc.enable()
 
     def _read(self, book: Book, number: int, data: memoryview) -> Reading:
         if len(data) < form.HEAD_LEAST:
--- a/thistleline/life/keeper.py
+++ b/thistleline/life/keeper.py
@@ -60,10 +60,9 @@
             tell("ledger", state="recovering", segments=read, bytes=size, effects=len(book.effects))
 
     try:
-        store.recover(book, progress)
+        found = store.recover(book, progress)
     except (Damaged, OSError) as error:
         raise Unusable(f"the ledger can't be read: {error}") from error
-    found = list(book.recovered())
     unsettled = sum(1 for effect in found if effect.how is None)
     facts = {"effects": len(found), "unsettled": unsettled, "segments": read, "bytes": size}
     tell("ledger", state="recovered", ms=(boot_now() - begun) // MS, **facts)
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -18,8 +18,8 @@
 from thistleline.life.farm import Farm
 from thistleline.life.front import Front, listen
 from thistleline.life.log import Log
-from thistleline.life.phases import Phases
 from thistleline.life.plate import Plate, read_plate
+from thistleline.memory.phases import Phases
 from thistleline.memory.reducer import Effect, Reducer
 from thistleline.wire.bench import Malformed
 from thistleline.wire.thrift import Stubs
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -32,7 +32,7 @@
 from typing import Any
 
 from thistleline.interface import Bench, CameIn, Task
-from thistleline.life.phases import Phases
+from thistleline.memory.phases import Phases
 from thistleline.memory.tables import Alarms, Connection, Entries, Key, Run, Try, key_of
 from thistleline.policy import Policy
 
