Two fields that nothing reads leave the ledger's reading and the lab's farm

Read once more: Reading.refused was always empty, as a segment that can't be read is an error, and FarmStandIn.links was only counted.

--- a/thistleline/lab/farm.py
+++ b/thistleline/lab/farm.py
@@ -38,7 +38,6 @@
         self.link: SocketStream | None = None
         self.sending = anyio.Lock()
         self.port = 0
-        self.links = 0
 
     async def serve(self, group: TaskGroup) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -47,7 +46,6 @@
         group.start_soon(listener.serve, self._talk)
 
     async def _talk(self, link: SocketStream) -> None:
-        self.links += 1
         source = BufferedByteReceiveStream(_Source(link))
         try:
             async with link:
--- a/thistleline/ledger/store.py
+++ b/thistleline/ledger/store.py
@@ -26,7 +26,6 @@
     outcomes: int
     torn: bool  # its end is missing, as a kill leaves it
     damaged: int  # bytes in its middle that can't be read
-    refused: str  # why none of it was read
 
 
 class Store:
@@ -76,7 +75,7 @@
 
     def _read(self, book: Book, number: int, data: memoryview) -> Reading:
         if len(data) < form.HEAD_LEAST:
-            return Reading(number, len(data), 0, 0, True, 0, "")  # a kill as it was made
+            return Reading(number, len(data), 0, 0, True, 0)  # a kill as it was made
         try:
             names, boot, place = form.read_head(data)
         except form.Damaged as error:
@@ -94,7 +93,7 @@
             group = form.group(payload)
             book.found(number, stages, same, group)
             intents, outcomes = intents + len(group.intents), outcomes + len(group.outcomes)
-        return Reading(number, len(data), intents, outcomes, torn, damaged, "")
+        return Reading(number, len(data), intents, outcomes, torn, damaged)
 
 
 def _cut(work: Work) -> Iterator[bytes]:
