Utility in a server's figures and in the judge; other rules beside it, runs shared out over cores

Need: servers told how many tasks they finished, so a release that drops the dear ones passed the judge; 'slow' was read by the steward and told by nobody.

--- a/thistleline/conductor/conducting.py
+++ b/thistleline/conductor/conducting.py
@@ -282,19 +282,24 @@
     def _slot(self) -> None:
         roll, judge = self.roll, self.judge
         told: list[Slot] = []
+        # Where one does not say what its work was worth, counts are compared; guards against holding the
+        # worth of new ones against the counts of old ones.
+        says_worth = all(one.worth[0] for one in self.members.values() if one.up and one.figures[:1] > (0,))
         for one in self.members.values():
-            before, here = self.before.get(one.id), one.figures
-            if len(here) < 8:
+            if len(one.figures) < 8:
                 continue
+            before, here = self.before.get(one.id), (*one.figures[:8], *one.worth)
             self.before[one.id] = here
             # Of the same life, or of one whose figures began anew.
             if before is None or not one.up or roll is None:
                 continue
-            since = before if before[7] == here[7] else (0,) * 7
+            since = before if before[7] == here[7] else (0,) * len(here)
             tasks, finished, rejected, abandoned, slow = (max(0, here[k] - since[k]) for k in range(5))
             came = max(1, tasks)
+            worth, done = (max(0, here[k] - since[k]) for k in (8, 9))
+            served = done / worth if says_worth and worth else finished / came
             told.append(
-                Slot(one.id, one.zone, one.runs(roll.version), not one.warm, tasks, min(1.0, finished / came),
+                Slot(one.id, one.zone, one.runs(roll.version), not one.warm, tasks, min(1.0, served),
                      min(1.0, rejected / came), min(1.0, abandoned / came), min(1.0, slow / max(1, finished)),
                      here[5] / MEMORY_SCALE, here[6] - self.crashes.get(one.id, here[6]), 0)
             )  # fmt: skip
--- a/thistleline/conductor/roll.py
+++ b/thistleline/conductor/roll.py
@@ -63,6 +63,7 @@
     taking: bool
     warm: bool
     figures: tuple[int, ...]  # tasks, finished, rejected, abandoned, slow, memory kB, crashes, life
+    worth: tuple[int, int] = (0, 0)  # of what came and of what was finished in time; none: it does not say
 
     @property
     def up(self) -> bool:
--- a/thistleline/conductor/service.py
+++ b/thistleline/conductor/service.py
@@ -136,6 +136,6 @@
                 alive = word.status < DEAD and (word.status == ALIVE or facts.taking)
                 found.append(
                     Seen(word.id, facts.zone, alive, facts.release, facts.settings, facts.taking and alive,
-                         facts.warm, facts.figures)
+                         facts.warm, facts.figures, facts.worth)
                 )  # fmt: skip
         return found
--- a/thistleline/lab/roll.py
+++ b/thistleline/lab/roll.py
@@ -7,7 +7,8 @@
 
 import statistics
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -16,6 +17,7 @@
 import anyio
 
 from thistleline.conductor.conducting import SECOND, Conducting, Spans
+from thistleline.conductor.judge import Finding, Judge, Slot, Verdict
 from thistleline.conductor.roll import STAGES, Order, Roll, Seen
 from thistleline.lab.harness import Fleet, folder_of
 from thistleline.lab.machines import HARMFUL, Machines
@@ -40,6 +42,7 @@
     crash_after: int = 0  # steps; 0: never
     silent: bool = False  # runs, and says nothing of itself
     starts: bool = True
+    dear: float = 0.0  # part of the utility that it drops beside, with as many tasks finished as before
 
 
 class Server:
@@ -50,6 +53,7 @@
         self.turn, self.again = 0, False
         self.age = 1000
         self.figures = [0, 0, 0, 0, 0, 100_000, 0, 1]
+        self.worth = [0, 0]
         self.trouble = 0  # steps left of a neighbour's
 
     def want(self, version: Version, turn: int) -> None:
@@ -67,7 +71,7 @@
             self.runs = self.should
             self.age = 0
             self.figures[7] += 1
-            self.figures[:5] = [0] * 5
+            self.figures[:5], self.worth[:] = [0] * 5, [0, 0]
             self.figures[5] = 100_000
         if self.down:
             if self.runs == NEW and not harm.starts:
@@ -78,7 +82,7 @@
         if down_by_itself:
             self.down = RESTART
             self.figures[7] += 1
-            self.figures[:5] = [0] * 5
+            self.figures[:5], self.worth[:] = [0] * 5, [0, 0]
             self.age = 0
             return 0.0, 0
         self.age += 1
@@ -92,7 +96,7 @@
         if new and harm.crash_after and self.age >= harm.crash_after:
             self.figures[6] += 1
             self.figures[7] += 1
-            self.figures[:5] = [0] * 5
+            self.figures[:5], self.worth[:] = [0] * 5, [0, 0]
             self.age = 0
             self.down = 1
             return 0.0, 0
@@ -120,14 +124,51 @@
         for place, value in enumerate(more):
             self.figures[place] += value
         self.figures[5] += harm.leak if hit else 0
-        return lost * tasks, tasks
+        dear = harm.dear if hit else 0.0
+        self.worth[0] += 1000 * tasks
+        self.worth[1] += round(1000 * finished * (1 - dear))
+        return lost * tasks + dear * finished, tasks
 
     def seen(self, harm: Harm) -> Seen:
         up = not self.down
         mute = up and self.runs == NEW and harm.silent
         figures = () if mute else tuple(self.figures)
         runs = (self.runs.release, self.runs.settings) if up else ("", 0)
-        return Seen(self.id, self.zone, True, *runs, up, self.age > COLD, figures)
+        worth = (self.worth[0], self.worth[1])
+        return Seen(self.id, self.zone, True, *runs, up, self.age > COLD, figures, worth)
+
+
+class Threshold(Judge):
+    """For comparison: worse by so much in so many slots in a row, new ones against old ones over all zones,
+    or against what old ones did last where none are left."""
+
+    LIMIT, IN_A_ROW = 0.02, 3
+
+    def __init__(self, *told: Any) -> None:
+        super().__init__(*told)
+        self.in_a_row = 0
+        self.old = 0.0
+
+    def take(self, slots: Iterable[Slot], expected: Iterable[str]) -> None:
+        told = list(slots)
+        super().take(told, expected)
+        new = [one.served for one in told if one.new and one.tasks]
+        old = [one.served for one in told if not one.new and one.tasks]
+        self.old = statistics.fmean(old) if old else self.old
+        worse = bool(new) and self.old - statistics.fmean(new) > self.LIMIT
+        self.in_a_row = self.in_a_row + 1 if worse else 0
+
+    def verdict(self, zone_of: dict[str, str]) -> tuple[Verdict, list[Finding], str]:
+        if self.at_once or self.in_a_row >= self.IN_A_ROW:
+            return "worse", [], self.at_once or "the threshold"
+        return ("not worse" if self.slots >= self.enough else "can't tell"), [], "the threshold"
+
+
+RULES: dict[str, tuple[Callable[..., Judge], tuple[str, ...]]] = {
+    "judge": (Judge, STAGES),
+    "threshold": (Threshold, STAGES),
+    "all at once": (Threshold, ("all",)),
+}
 
 
 class Rolled(NamedTuple):
@@ -147,9 +188,10 @@
     steps: int = 3000,
     deaths: float = 0.0002,
     successions: float = 0.0,
+    rule: str = "judge",
 ) -> Rolled:
     """One change under bursts, shifts, neighbours and deaths, till it is done or back. `successions`: of
-    conductors, a step and an effect; each knows what was recorded and nothing else."""
+    conductors, a step and an effect; each knows what was recorded and nothing else. `rule`: of RULES."""
     chance = Random(seed)
     fleet = [
         Server(f"s{place:04}", f"z{place % zones}", Random(chance.getrandbits(64)))
@@ -160,9 +202,10 @@
     def wall() -> int:
         return now // 1_000_000
 
-    conducting = Conducting(now, wall, None, SPANS)
-    down = max(1, servers // 10)
-    order = Order(1, "start", "", NEW, OLD, STAGES, down, max(1, down // 2))
+    judge, stages = RULES[rule]
+    conducting = Conducting(now, wall, None, SPANS, judge)
+    down = servers if len(stages) == 1 else max(1, servers // 10)
+    order = Order(1, "start", "", NEW, OLD, stages, down, max(1, down // 2))
     record: Roll | None = None
     burst = {f"z{zone}": 0.0 for zone in range(zones)}
     ever: set[str] = set()
@@ -180,7 +223,7 @@
                 ever.add(server.id)
         most_down = max(most_down, sum(1 for one in fleet if one.down))
         if chance.random() < successions:
-            conducting = Conducting(now, wall, record, SPANS)
+            conducting = Conducting(now, wall, record, SPANS, judge)
         effects = conducting.take(now, "seen", [one.seen(harm) for one in fleet])
         if step >= 20 and record is None:
             effects += conducting.take(now, "order", order)
@@ -189,7 +232,7 @@
         while effects:
             effect = effects.pop(0)
             if chance.random() < successions:  # it dies between two effects
-                conducting = Conducting(now, wall, record, SPANS)
+                conducting = Conducting(now, wall, record, SPANS, judge)
                 break
             if effect[0] == "record":
                 record = effect[1]
@@ -208,6 +251,7 @@
     Harm("slower in one stage", slow=0.20), Harm("leaks", leak=8000),
     Harm("dies after a minute", crash_after=12),
     Harm("does not start", starts=False), Harm("says nothing", silent=True),
+    Harm("drops a tenth, the dear ones", dear=0.10),
 )  # fmt: skip
 
 
@@ -221,8 +265,7 @@
     return round(max(0.0, middle - width), 4), round(min(1.0, middle + width), 4)
 
 
-def figures_of(servers: int, zones: int, harm: Harm, seeds: range) -> dict[str, Any]:
-    runs = [roll(servers, zones, harm, seed) for seed in seeds]
+def figures_of(runs: list[Rolled], servers: int) -> dict[str, Any]:
     phases = Counter(one.phase for one in runs)
     stopped = phases["back"] + phases["backing"]
     return {
@@ -230,8 +273,8 @@
         "stopped": stopped,
         "asked": phases["asking"],
         "stopped_interval": interval(stopped, len(runs)),
-        "servers_reached_p50": statistics.median(one.most_new for one in runs),
-        "servers_reached_most": max(one.most_new for one in runs),
+        "part_reached_p50": round(statistics.median(one.most_new for one in runs) / servers, 3),
+        "part_reached_most": round(max(one.most_new for one in runs) / servers, 3),
         "utility_lost": round(statistics.fmean(one.lost for one in runs), 5),
         "steps_p50": statistics.median(one.steps for one in runs),
         "most_down": max(one.most_down for one in runs),
@@ -239,12 +282,22 @@
 
 
 def figures(quick: bool, seed: int, tell: Callable[[str], None]) -> dict[str, Any]:
+    """By servers, harm and rule; runs are shared out over the cores, the figures are the same in any number
+    of processes."""
+    asked: dict[str, tuple[int, Harm, str, int]] = {}
+    for servers, count in ((30, 6),) if quick else ((30, 200), (300, 200), (1000, 200)):
+        for harm in (Harm(), *HARMS) if servers <= 300 else (Harm(), *HARMS[:4]):
+            for rule in RULES if servers == 300 and harm in (Harm(), *HARMS[:4]) else ("judge",):
+                name = f"{servers} servers, {harm.what}" + (f", {rule}" if rule != "judge" else "")
+                asked[name] = servers, harm, rule, count
     found: dict[str, Any] = {}
-    sizes = ((30, 6),) if quick else ((30, 40), (300, 12))
-    for servers, count in sizes:
-        for harm in (Harm(), *HARMS):
-            name = f"{servers} servers, {harm.what}"
-            found[name] = figures_of(servers, 3, harm, range(seed, seed + count))
+    with ProcessPoolExecutor() as pool:
+        runs = {
+            name: [pool.submit(roll, servers, 3, harm, seed + run, rule=rule) for run in range(count)]
+            for name, (servers, harm, rule, count) in asked.items()
+        }
+        for name, under_way in runs.items():
+            found[name] = figures_of([one.result() for one in under_way], asked[name][0])
             tell(f"{name}: {found[name]}")
     return found
 
--- a/thistleline/members/messages.py
+++ b/thistleline/members/messages.py
@@ -18,6 +18,7 @@
     warm: bool = False
     taking: bool = True
     figures: tuple[int, ...] = ()  # as the part that reads them has agreed, 8 at most
+    worth: tuple[int, int] = (0, 0)  # of what came and of what was finished in time, thousandths of utility
 
 
 class Word(msgspec.Struct, frozen=True, array_like=True):
--- a/thistleline/steward/service.py
+++ b/thistleline/steward/service.py
@@ -29,6 +29,7 @@
 LOG_BOUND = 64 << 20  # bytes of a server's log, cut to nothing past it
 LIVES_KEPT = 5  # logs
 FIGURES = ("tasks", "finished", "rejected", "abandoned", "slow")
+WORTH = ("worth_came", "worth_done")
 
 _state = msgspec.json.Decoder(State).decode
 _want = msgspec.msgpack.Decoder(Want).decode
@@ -65,6 +66,7 @@
         self.pid = 0
         self.up_at = 0
         self.figures = [0] * len(FIGURES)
+        self.worth = (0, 0)
         self.memory = 0
         self.settings: dict[int, bytes] = {}
         self.woken = anyio.Event()
@@ -282,6 +284,8 @@
             with suppress(orjson.JSONDecodeError):
                 told = orjson.loads(line)
                 self.figures = [int(told.get(name, 0)) for name in FIGURES]
+                came, done = (int(told.get(name, 0)) for name in WORTH)
+                self.worth = came, done
                 self.memory = int(told.get("peak_kb", 0))
 
     def _tell(self) -> None:
@@ -296,6 +300,7 @@
             up and boot_now() - self.up_at >= self.conf.warm,
             up,
             (*self.figures, self.memory, keeping.crashed_in_all, keeping.state.life),
+            self.worth,
         )
         for effect in self.member.gossip.take(boot_now(), "tell", facts):
             if effect[0] == "log":
