A server follows another beside it: ledger, socket and agent link handed over, nothing refused

Need: between the end of the old server and the start of the new one a machine served nothing, and a release that does not start took its machine down; the ledger could only go over through a stop.

Change: package attended. The heir reads the ledger while the elder writes it, then asks; the elder begins nothing more, waits until what it began is written and known at the agent, and hands over lock, listening socket and the right in one message. What it had running goes on over the heir's link to the agent; what it had not started and what it reads later is the heir's. Part 'handover' of the settings; service.py gets three places to be extended at (stand, tasks, hold_farm), no new import where it is off. lab handover with kills at 13 points on both sides; the stand-in agent closes a link that another replaces, lab callers honour the farewell.

--- a/thistleline/__main__.py
+++ b/thistleline/__main__.py
@@ -42,8 +42,13 @@
             for line in faulty.lines:
                 complain(line)
             return 2
+    serves = Service
+    if conf is not None and conf.handover is not None:
+        from thistleline.attended.service import AttendedService
+
+        serves = AttendedService
     try:
-        anyio.run(Service(plate, conf).run)
+        anyio.run(serves(plate, conf).run)
     except Unusable as error:
         complain(str(error))
         return 2
--- a/thistleline/conf/schema.py
+++ b/thistleline/conf/schema.py
@@ -24,6 +24,13 @@
     results: Annotated[int, msgspec.Meta(ge=0, le=1 << 36)] | None = None  # bytes in memory
 
 
+class Handover(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where a server and the one that follows it on the same machine find each other. Wants the part `ledger`
+    beside it in a server's file."""
+
+    folder: Path
+
+
 class Council(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A voter of the council, or with `voter` lines alone where one is found."""
 
@@ -68,6 +75,7 @@
 
 class Conf(msgspec.Struct, frozen=True):
     ledger: Ledger | None = None
+    handover: Handover | None = None
     council: Council | None = None
     members: Members | None = None
     steward: Steward | None = None
@@ -76,6 +84,7 @@
 
 PARTS: dict[str, type[msgspec.Struct]] = {
     "ledger": Ledger,
+    "handover": Handover,
     "council": Council,
     "members": Members,
     "steward": Steward,
--- a/thistleline/keeping/keeper.py
+++ b/thistleline/keeping/keeper.py
@@ -9,6 +9,7 @@
 
 from thistleline.conf.schema import Ledger
 from thistleline.keeping.reducer import KeepingReducer
+from thistleline.keeping.worth import Worth
 from thistleline.ledger.book import Book, Found, Work
 from thistleline.ledger.store import Reading, Store
 from thistleline.life.plate import Unusable
@@ -70,23 +71,34 @@
     return found
 
 
+class Told(Worth, KeepingReducer):
+    """With a ledger, and with what its work was worth in its figures."""
+
+
 def furnish(
     conf: Ledger, told: tuple[Any, ...], take: Callable[..., None], tell: Callable[..., None]
 ) -> tuple[KeepingReducer, Callable[[], list[Found]], Callable[[TaskGroup], dict[str, Callable[..., None]]]]:
     """Takes the folder: the reducer, what recovers it, and what makes the writer's effects in a task group.
     `told` is what any reducer is told, its bench first and the time seventh. Raises Unusable."""
-    bench, now = told[0], told[6]
-    disk = Disk(conf.folder)
-    try:
-        disk.hold()
-    except Held as error:
-        raise Unusable(str(error)) from error
-    except OSError as error:
-        raise Unusable(f"the ledger can't be kept in {conf.folder}: {error.strerror}") from error
-    store = Store(disk, tuple(stage.name for stage in bench.stages))
-    reducer = KeepingReducer(*told, disk_bound=conf.disk, boot_ahead=boot_now() - now)
+    store = store_of(conf, told)
+    hold(store.disk)
+    reducer = Told(*told, disk_bound=conf.disk, boot_ahead=boot_now() - told[6])
     return (
         reducer,
         lambda: recover(store, reducer.book, tell),
         lambda group: Keeper(store, take, group).effects(),
     )
+
+
+def store_of(conf: Ledger, told: tuple[Any, ...]) -> Store:
+    return Store(Disk(conf.folder), tuple(stage.name for stage in told[0].stages))
+
+
+def hold(disk: Disk) -> None:
+    """Takes the folder. Raises Unusable."""
+    try:
+        disk.hold()
+    except Held as error:
+        raise Unusable(str(error)) from error
+    except OSError as error:
+        raise Unusable(f"the ledger can't be kept in {disk.folder}: {error.strerror}") from error
--- a/thistleline/lab/caller.py
+++ b/thistleline/lab/caller.py
@@ -11,6 +11,7 @@
 from thistleline.wire import stub
 from thistleline.wire.buffer import Buffer
 
+Open = dict[int, tuple[anyio.Event, list[Any]]]
 TRY_SPAN = 3.0  # a try without an answer for so long is given up
 
 
@@ -32,50 +33,54 @@
         self.address, self.caller = address, caller
         self.stream: SocketStream | None = None
         self.seq = 0
-        self.open: dict[int, tuple[anyio.Event, list[Any]]] = {}
+        self.open: Open = {}  # of the connection that is asked on now
         self.making = anyio.Lock()
 
     async def ask(self, words: dict[str, str], body: bytes, group: Any) -> tuple[str, Any]:
         """One try; "lost" where no answer came."""
         event, answer = anyio.Event(), list[Any]()
-        seq = -1
+        seq, waiting = -1, self.open
         try:
             async with self.making:
                 if self.stream is None:
                     self.stream = await anyio.connect_tcp(*self.address())
-                    self.seq = 0
-                    group.start_soon(self._read, self.stream)
+                    self.seq, self.open = 0, {}
+                    group.start_soon(self._read, self.stream, self.open)
                 self.seq += 1
-                seq = self.seq
-                self.open[seq] = event, answer
+                seq, waiting = self.seq, self.open
+                waiting[seq] = event, answer
                 await self.stream.send(stub.process(seq, words, body))
             with anyio.move_on_after(TRY_SPAN):
                 await event.wait()
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
-            self.stream = None
+            if self.open is waiting:
+                self.stream = None
         finally:
-            self.open.pop(seq, None)
+            waiting.pop(seq, None)
         return (answer[0], answer[1]) if answer else ("lost", None)
 
-    async def _read(self, stream: SocketStream) -> None:
+    async def _read(self, stream: SocketStream, waiting: Open) -> None:
+        """To its end; what is asked once nothing new is wanted here goes on another connection."""
         buffer = Buffer(stub.ANSWER_BOUND)
         try:
-            while True:
+            while waiting or self.stream is stream:
                 data = await stream.receive(65536)
                 buffer.room()[: len(data)] = data
                 buffer.filled(len(data))
                 for seq, kind, value in stub.answers(buffer):
-                    if seq in self.open:
-                        event, answer = self.open.pop(seq)
+                    if kind == "dismiss" and self.stream is stream:
+                        self.stream = None
+                    elif seq in waiting:
+                        event, answer = waiting.pop(seq)
                         answer += [kind, value]
                         event.set()
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         if self.stream is stream:
             self.stream = None
-            waiting, self.open = self.open, {}
-            for event, _ in waiting.values():
-                event.set()
+        for event, _ in waiting.values():
+            event.set()
+        waiting.clear()
         await anyio.aclose_forcefully(stream)
 
 
--- a/thistleline/lab/farm.py
+++ b/thistleline/lab/farm.py
@@ -58,7 +58,9 @@
                     elif words[0] == "subscribe":
                         age = int((time.monotonic() - self.born) * 1000)
                         async with self.sending:
-                            self.link = link
+                            before, self.link = self.link, link
+                            if before is not None and before is not link:
+                                await before.aclose()  # a new link replaces the one before it
                             first = self.number - len(self.notices)
                             missed = list(self.notices)[max(0, int(words[1]) - first) :]
                             await link.send(b"greeting old %d\r\n" % age + b"".join(missed))
--- a/thistleline/lab/server.py
+++ b/thistleline/lab/server.py
@@ -7,6 +7,7 @@
     {"sync": false}             the sync is left out
     {"stall": ms}               so long nothing else is done at each task
     {"figures": s}              figures are told so often
+    {"keeps": true}             one that has handed over goes on starting effects
 
 What was not synced is lost with the program, as with the machine: the disk here writes at the sync.
 """
@@ -22,11 +23,13 @@
 
 import anyio
 
+from thistleline.attended.service import AttendedService
 from thistleline.conf.schema import read_conf
 from thistleline.keeping import keeper
 from thistleline.ledger import store
 from thistleline.life import service
-from thistleline.life.plate import read_plate
+from thistleline.life.log import complain
+from thistleline.life.plate import Unusable, read_plate
 from thistleline.life.service import Service
 from thistleline.store.disk import Disk
 
@@ -76,7 +79,7 @@
         self.unsynced.clear()
 
 
-class LabService(Service):
+class Faults(Service):
     fault: dict[str, Any]
 
     def _pass(self, point: str) -> None:
@@ -98,13 +101,36 @@
         self._pass(f"after:{effect[0]}")
 
 
+class LabAttended(Faults, AttendedService):
+    """One that follows another, and is followed."""
+
+
+def keep_right() -> None:
+    """Leaves a protection out: one that has handed over takes and starts tasks as before."""
+    from thistleline.attended.succession import Succeeding
+    from thistleline.keeping.worth import Worth
+    from thistleline.memory.reducer import Reducer
+
+    def launch(self: Succeeding, task: str, run: Any) -> None:
+        if self.stands == "handed":
+            Reducer._launch(self, task, run)
+        else:
+            had(self, task, run)
+
+    had = Succeeding._launch
+    for name, put in (("_launch", launch), ("_task", Worth._task), ("_shut", lambda self: None)):
+        setattr(Succeeding, name, put)
+
+
 def main() -> int:
     fault = json.loads(os.environ.get("LAB_FAULT", "{}"))
-    LabDisk.fault = LabService.fault = fault
+    LabDisk.fault = Faults.fault = fault
     setattr(keeper, "Disk", LabDisk)  # noqa: B010
     if fault.get("sync") is False:
         made = store.Store.__init__
         setattr(store.Store, "__init__", lambda self, disk, names: made(self, disk, names, False))  # noqa: B010
+    if fault.get("keeps"):
+        keep_right()
     if fault.get("figures"):
         setattr(service, "FIGURES_EVERY", float(fault["figures"]))  # noqa: B010
     if fault.get("each"):
@@ -112,7 +138,13 @@
 
         book.GROUP_BOUND = 1
     named = os.environ.get("THISTLELINE_CONF")
-    anyio.run(LabService(read_plate(os.environ), read_conf(named) if named else None).run)
+    conf = read_conf(named) if named else None
+    serves = LabAttended if conf is not None and conf.handover is not None else Faults
+    try:
+        anyio.run(serves(read_plate(os.environ), conf).run)
+    except Unusable as error:
+        complain(str(error))
+        return 2
     return 0
 
 
--- a/thistleline/ledger/book.py
+++ b/thistleline/ledger/book.py
@@ -241,9 +241,17 @@
     # ---- recovery
 
     def found_segment(self, number: int, size: int) -> None:
-        self.segments[number] = Segment(size)
+        """Also of one that has grown since it was read."""
+        if number in self.segments:
+            self.segments[number].size = size
+        else:
+            self.segments[number] = Segment(size)
         self.segment_numbers = max(self.segment_numbers, number)
 
+    def lost_segments(self, there: set[int]) -> None:
+        """All others are gone: what mattered in them stands in these."""
+        self.segments = {number: held for number, held in self.segments.items() if number in there}
+
     def found(self, segment: int, stages: list[int | None], same_boot: bool, group: Group) -> None:
         """A group as it was read, segments in the order of their numbers. `stages`: the place here of each
         stage of the segment, none where it is gone: nothing can repeat what belonged to it."""
--- a/thistleline/ledger/store.py
+++ b/thistleline/ledger/store.py
@@ -27,6 +27,7 @@
     outcomes: int
     torn: bool  # its end is missing, as a kill leaves it
     damaged: int  # bytes in its middle that can't be read
+    whole: int  # where the last whole frame ends
 
 
 class Store:
@@ -74,9 +75,35 @@
             if collects:
                 gc.enable()
 
-    def _read(self, book: Book, number: int, data: memoryview) -> Reading:
+    def follow(self, book: Book, read: dict[int, int], last: bool) -> None:
+        """Tells the book what was added since the places in `read`, by segment, which move on; another
+        program may write there meanwhile. `last`: none does any more. Raises Damaged as `recover` does, the
+        last time."""
+        there = set()
+        for number, size in self.disk.segments():
+            there.add(number)
+            place = read.get(number, 0)
+            if size == place:
+                continue
+            try:
+                data = memoryview(self.disk.read(number))
+            except FileNotFoundError:
+                continue  # it has just gone: what matters of it stands in a later one
+            book.found_segment(number, len(data))
+            try:
+                reading = self._read(book, number, data, place)
+            except Damaged:
+                if last:
+                    raise
+                continue  # its head is being written
+            read[number] = reading.whole
+        if last:
+            book.lost_segments(there)
+            book.forget_expired()
+
+    def _read(self, book: Book, number: int, data: memoryview, since: int = 0) -> Reading:
         if len(data) < form.HEAD_LEAST:
-            return Reading(number, len(data), 0, 0, True, 0)  # a kill as it was made
+            return Reading(number, len(data), 0, 0, True, 0, 0)  # a kill as it was made
         try:
             names, boot, place = form.read_head(data)
         except Damaged as error:
@@ -85,16 +112,17 @@
         stages = [here.get(name) for name in names]
         same = boot == self.boot and any(boot)
         intents = outcomes = damaged = 0
-        torn = False
-        for start, payload, end in form.frames(data, place):
+        torn, whole = False, max(place, since)
+        for start, payload, end in form.frames(data, whole):
             if payload is None:
                 torn = end == len(data)
                 damaged += 0 if torn else end - start
                 continue
+            whole = end
             group = form.group(payload)
             book.found(number, stages, same, group)
             intents, outcomes = intents + len(group.intents), outcomes + len(group.outcomes)
-        return Reading(number, len(data), intents, outcomes, torn, damaged)
+        return Reading(number, len(data), intents, outcomes, torn, damaged, whole)
 
 
 def _cut(work: Work) -> Iterator[bytes]:
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -4,6 +4,7 @@
 import os
 import resource
 import signal
+import socket
 import traceback
 from collections.abc import Callable
 from dataclasses import fields, replace
@@ -12,6 +13,7 @@
 import anyio
 import anyio.lowlevel
 import anyio.to_thread
+from anyio.abc import TaskGroup
 
 from thistleline.life.announcer import Announcer
 from thistleline.life.clock import Clock
@@ -48,18 +50,12 @@
             plate.granularity,
             max(1, min(plate.descriptors - RESERVE, plate.memory // 4 // CONNECTION_COST)),
         )
-        rest = (plate.seed, self.clock.now(), self.phases)
-        self.reducer: Reducer
+        results = plate.memory // 8
+        if conf is not None and conf.ledger is not None and conf.ledger.results is not None:
+            results = conf.ledger.results
         self.recover: Callable[[], Any] | None = None
-        if conf is not None and conf.ledger is not None:
-            from thistleline.keeping.keeper import furnish
-
-            results = plate.memory // 8 if conf.ledger.results is None else conf.ledger.results
-            self.reducer, self.recover, self.keeper = furnish(
-                conf.ledger, (*told, results, *rest), self.take, self.note
-            )
-        else:
-            self.reducer = Reducer(*told, plate.memory // 8, *rest)
+        self.keeper: Callable[..., dict[str, Callable[..., None]]] | None = None
+        self.reducer = self.furnish(conf, (*told, results, plate.seed, self.clock.now(), self.phases))
         self.woken = anyio.Event()
         self.sleeps_until = 0
         self.busy = False
@@ -67,16 +63,29 @@
         self.read_at = 0  # when the first task was read that no round has seen
         self.late = self.longest = self.delay = 0  # the worst since the last figures
 
-    async def run(self) -> None:
-        """Raises OSError where it can't listen; what the ledger's recovery raises."""
+    def furnish(self, conf: "Conf | None", told: tuple[Any, ...]) -> Reducer:
+        """Its reducer, of what any is told. Raises Unusable."""
+        if conf is None or conf.ledger is None:
+            return Reducer(*told)
+        from thistleline.keeping.keeper import furnish
+
+        reducer, self.recover, self.keeper = furnish(conf.ledger, told, self.take, self.note)
+        return reducer
+
+    async def stand(self) -> tuple[Any, socket.socket]:
+        """What an earlier life left, and where it listens."""
         # Until it knows what ran it does not listen: a refused connection proves that nothing ran.
         found = await anyio.to_thread.run_sync(self.recover) if self.recover is not None else None
-        listener = listen(self.plate.listen)
+        return found, listen(self.plate.listen)
+
+    async def run(self) -> None:
+        """Raises OSError where it can't listen; what the ledger's recovery raises."""
+        found, listener = await self.stand()
         async with anyio.create_task_group() as group:
             front = self.front = Front(listener, Stubs(self.plate.bench), self.take_task, group)
             farm = self.farm = Farm(self.plate.agent, self.take, group)
             announcer = self.announcer = Announcer(self.plate.name, self.plate.announce, group, self.note)
-            if found is not None:
+            if self.keeper is not None:
                 self.does |= self.keeper(group)
             for effects in (front.effects(), farm.effects(), announcer.effects()):
                 self.does |= effects
@@ -87,11 +96,8 @@
                     self.take("recovered", found)
                 self.take("listening")
                 self.note("started", **self.plate.facts())
-                group.start_soon(front.accept)
-                group.start_soon(farm.hold, lambda: self.reducer.notice)
-                group.start_soon(announcer.keep_reporting)
-                group.start_soon(self.pump)
-                group.start_soon(self.figures)
+                for task in self.tasks(group):
+                    group.start_soon(task)
                 gc.collect()
                 gc.freeze()
                 async for number in signals:
@@ -100,6 +106,13 @@
                     else:
                         self.take("leave", self.clock.now() + self.plate.stop_span)
 
+    def tasks(self, group: TaskGroup) -> list[Callable[..., Any]]:
+        """What runs beside each other until the end."""
+        return [self.front.accept, self.hold_farm, self.announcer.keep_reporting, self.pump, self.figures]
+
+    async def hold_farm(self) -> None:
+        await self.farm.hold(lambda: self.reducer.notice)
+
     def read_again(self) -> None:
         """Takes up what can be of a new plate; one that makes no sense changes nothing."""
         try:
