Steward: the next server beside the one that serves, which goes once the next one serves

Need: a change took a machine down from the end of the old server to the start of the new one; a release that does not start took it down for good until it was taken back.

Change: with the part 'handover' the steward starts the wanted version as heir, reads from the heir's own word that it serves, then watches the elder go; an heir that dies or does not come costs its try alone, and its crashes count against the new version while the old serves on. A lock a life. What a server tells is told of its own life alone: figures of the one before were taken for the next one's (steward/service.py, _tail and _tell).

Four protections left out are each found.

--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import Any
 
+import msgspec
 import pytest
 
 from thistleline.conductor.bounds import Bounds
@@ -23,7 +24,7 @@
 from thistleline.lab.harness import free_port
 from thistleline.lab.mutants import without
 from thistleline.lab.roll import HARMS, Harm, roll
-from thistleline.lab.stewardworld import StewardWorld, following
+from thistleline.lab.stewardworld import BesideWorld, StewardWorld, following, following_beside, wander
 from thistleline.steward.keeping import SECOND, Keeping, State, Version, Want
 from thistleline.steward.releases import Releases, Unfit, digest_of
 from thistleline.store.latest import Latest
@@ -272,6 +273,51 @@
         assert wanted in explore(StewardWorld(), following, 40, 60_000).wrong
 
 
+def _heir_unnoted(self: Keeping, version: Version) -> None:
+    life = self._next_life()
+    self.phase, self.heir_since, self.heir_alive = "succeeding", self.now, False
+    self.state = msgspec.structs.replace(self.state, heir=version, heir_life=life, last=life)
+    self.effects += [("spawn", life, version), ("note", self.state)]
+    self.notes.append(())
+
+
+def _heir_forgotten(
+    self: Keeping,
+    state: State,
+    lives: bool,
+    heir: bool = False,
+    elder: int = 0,
+    had: Any = Keeping._recovered,
+) -> None:
+    had(self, state, lives, False, elder)
+
+
+def _elder_forgotten(self: Keeping, life: int, had: Any = Keeping._served) -> None:
+    had(self, life)
+    self.elder = 0
+
+
+def _never_again(self: Keeping, had: Any = Keeping._elapsed) -> None:
+    if self.phase != "running":
+        had(self)
+
+
+def test_beside_each_other_two_live_at_most_and_what_is_wanted_comes_to_serve() -> None:
+    assert explore(BesideWorld(), following_beside, 60, 20_000).wrong == ""
+    assert wander(range(400), 150) == ""
+
+
+@pytest.mark.parametrize(("name", "put", "wanted"), [
+    ("_spawn_heir", _heir_unnoted, "nobody would know of"),
+    ("_recovered", _heir_forgotten, "too many live"),
+    ("_served", _elder_forgotten, "too many live"),
+    ("_elapsed", _never_again, "does not come to serve"),
+])  # fmt: skip
+def test_a_protection_of_the_change_beside_left_out_is_found(name: str, put: Any, wanted: str) -> None:
+    with without(((Keeping, name, put),)):
+        assert wanted in wander(range(1500), 150)
+
+
 def kept(good: Version | None = OLD) -> Keeping:
     made = Keeping(SECOND, 0)
     made.take(0, "recovered", State(Want(1, 1, OLD), OLD, 3, good), True)
--- a/thistleline/attended/service.py
+++ b/thistleline/attended/service.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import asdict, replace
-from pathlib import Path
 from typing import Any
 
 import anyio
@@ -37,6 +36,7 @@
     Welcome,
     Yours,
 )
+from thistleline.attended.owner import tell_owner
 from thistleline.attended.succession import ELDER, Succeeding
 from thistleline.conf.schema import Conf
 from thistleline.interface import Task
@@ -57,7 +57,6 @@
 GREETING = 1.0  # s
 ANSWERS = ("finished", "rejected", "abandoned", "misunderstood")
 AGENT_SAYS = ("agent_up", "agent_lost", "run_over", "measured", "declined")
-OWNER = "owner"
 
 
 class AttendedService(Service):
@@ -198,10 +197,7 @@
             self.elder.group = group
             group.start_soon(self._hear_elder, self.elder)
         self.awaits = lines.listen(self.named)
-        owner = self.folder / OWNER
-        fresh = owner.with_suffix(".new")
-        fresh.write_text(f"{os.environ.get('ROUTER_LIFE', '0')} {os.getpid()}\n")
-        fresh.rename(owner)
+        tell_owner(self.folder, os.environ.get("ROUTER_LIFE", "0"))
         self.note("succession", state="serves", followed=self.inherited is not None)
         return [self._accept, self.hold_farm, self._report, self.pump, self.figures, self._await_heirs]
 
@@ -418,12 +414,3 @@
         self.to_farm = True
         self.does |= self.farm.effects()
         await self.hold_farm()
-
-
-def read_owner(folder: Path) -> tuple[int, int] | None:
-    """The life and the pid of the server that serves, or served last; None where nothing can be read."""
-    try:
-        life, pid = (folder / OWNER).read_text().split()
-        return int(life), int(pid)
-    except (OSError, ValueError):
-        return None
--- a/thistleline/conductor/conducting.py
+++ b/thistleline/conductor/conducting.py
@@ -298,10 +298,11 @@
             came = max(1, tasks)
             worth, done = (max(0, here[k] - since[k]) for k in (8, 9))
             served = done / worth if says_worth and worth else finished / came
+            tried = one.id in roll.targets and not one.runs(roll.version)  # its crashes are counted below
             told.append(
                 Slot(one.id, one.zone, one.runs(roll.version), not one.warm, tasks, min(1.0, served),
                      min(1.0, rejected / came), min(1.0, abandoned / came), min(1.0, slow / max(1, finished)),
-                     here[5] / MEMORY_SCALE, here[6] - self.crashes.get(one.id, here[6]), 0)
+                     here[5] / MEMORY_SCALE, 0 if tried else here[6] - self.crashes.get(one.id, here[6]), 0)
             )  # fmt: skip
         if judge is not None and roll is not None and roll.phase == "going":
             # A crashed one that comes and goes is in no slot; its crashes count all the same.
@@ -309,7 +310,8 @@
                 crashed = (
                     one.figures[6] - self.crashes.get(one.id, one.figures[6]) if len(one.figures) > 6 else 0
                 )
-                if one.id in roll.targets and not one.up and crashed:
+                # One whose heirs die serves on with the old version; those deaths are the new one's.
+                if one.id in roll.targets and not one.runs(roll.version) and crashed:
                     told.append(Slot(one.id, one.zone, True, True, 0, 0.0, 0.0, 0.0, 0.0, 0.0, crashed, 0))
             judge.take(told, [id for id in roll.targets if self._is(id, roll.version)])
 
--- a/thistleline/steward/keeping.py
+++ b/thistleline/steward/keeping.py
@@ -2,17 +2,22 @@
 
 Inputs are a kind and its values:
 
-    recovered State lives | want Want | reached yes | verified why | spawned pid | unspawned why
-    exited code | noted | elapsed | leave
+    recovered State lives heir_lives elder | want Want | reached yes | verified why
+    spawned pid | unspawned why | exited code life | served life | noted | elapsed | leave
 
 Effects:
 
     (note State)          made durable before anything else is done; `noted` answers it
     (verify Version)      `verified` with an empty reason, or why it is not to be started
-    (spawn life Version)  (term) (kill) (tell state) (log event facts) (end)
+    (spawn life Version)  (term) (kill) (term_heir life) (kill_life life) (tell state) (log event facts) (end)
 
 One effect at a time that changes what runs, and each after a note: whenever the steward dies, what it noted
 and whether a server lives say together what is to be done. A server is never started while one lives.
+
+But for `beside`: there a server is followed by the next one while it serves. Until the heir says that it
+serves (`served`) the other one does; then that one is the elder, which goes by itself, or is killed. An heir
+that dies, or does not come to serve, costs nothing but its try. At most two live, and those two are the one
+that serves and either its heir or its elder.
 """
 
 from typing import Any, Literal
@@ -24,9 +29,20 @@
 LOOP_COUNT, LOOP_SPAN = 5, 60 * SECOND  # so many crashes in so long are a crash loop
 GOOD_SPAN = 15 * SECOND  # a server that ran so long without a crash is good
 KILL_AFTER = 500 * MS  # beside its time to stop
+SUCCEED_SPAN = 30 * SECOND  # for an heir to come to serve
 UNREACHED_SPAN = 10 * SECOND  # without the council, before a new one that does not come up is taken back
 
-Phase = Literal["recovering", "idle", "verifying", "spawning", "running", "stopping", "backing off", "failed"]
+Phase = Literal[
+    "recovering",
+    "idle",
+    "verifying",
+    "spawning",
+    "running",
+    "succeeding",
+    "stopping",
+    "backing off",
+    "failed",
+]
 
 
 class Version(msgspec.Struct, frozen=True):
@@ -55,12 +71,19 @@
     life: int = 0
     good: Version | None = None
     refused: Want | None = None  # went back from it alone; only another want is followed
+    heir: Version | None = None  # what is to follow the one that runs, and its life
+    heir_life: int = 0
+    last: int = 0  # number of the last life that was given out, if greater than `life`
 
 
 class Keeping:
-    def __init__(self, stop_span: int, now: int) -> None:
-        """`stop_span`: ns that a server has from SIGTERM to its end."""
-        self.stop_span, self.now = stop_span, now
+    def __init__(self, stop_span: int, now: int, beside: bool = False) -> None:
+        """`stop_span`: ns that a server has from SIGTERM to its end. `beside`: servers hand over."""
+        self.stop_span, self.now, self.beside = stop_span, now, beside
+        self.heir_alive = False
+        self.heir_since = 0
+        self.elder = self.elder_since = 0  # life that handed over and is not gone, since when
+        self.elder_killed = False
         self.phase: Phase = "recovering"
         self.state = State()
         self.effects: list[tuple[Any, ...]] = []
@@ -87,9 +110,23 @@
         effects, self.effects = self.effects, []
         return effects
 
+    @property
+    def serves(self) -> bool:
+        """Whether there is a server that takes tasks, by all that is known here."""
+        return self.alive and self.phase in ("running", "verifying", "succeeding")
+
     def due(self) -> int:
+        if self.elder and not self.elder_killed:
+            return min(self._due(), self.elder_since + self.stop_span + KILL_AFTER)
+        return self._due()
+
+    def _due(self) -> int:
         if self.phase == "stopping":
             return self.stopping + self.stop_span + KILL_AFTER
+        if self.phase == "succeeding":
+            return self.heir_since + SUCCEED_SPAN
+        if self.phase == "running" and self.retry_at > self.now:
+            return self.retry_at
         if self.phase == "backing off":
             return self.retry_at
         if self.phase == "running" and self.state.good != self.state.running:
@@ -114,15 +151,19 @@
             return state.good
         return state.want.version
 
-    def _recovered(self, state: State, lives: bool) -> None:
-        """`lives`: a server of the last life runs still."""
+    def _recovered(self, state: State, lives: bool, heir_lives: bool = False, elder: int = 0) -> None:
+        """`lives`: a server of the last life runs still; its heir too; and `elder`, one that is neither."""
         self.state = state
-        if lives:
-            self.alive, self.started = True, self.now
-            self.phase, self.why = "running", "found alive"
+        self.elder, self.elder_since = elder, self.now
+        self.alive, self.heir_alive, self.started = lives, heir_lives, self.now
+        if heir_lives:
+            self.phase, self.why, self.heir_since = "succeeding", "found alive with its heir", self.now
+            return
+        self.phase, self.why = ("running", "found alive") if lives else ("idle", "")
+        if state.heir is not None:
+            self._note(msgspec.structs.replace(state, heir=None, heir_life=0), ("go on",))
         else:
-            self.phase = "idle"
-        self._go_on()
+            self._go_on()
 
     def _want(self, want: Want) -> None:
         """Idempotent; what an older conductor wants is refused."""
@@ -137,6 +178,7 @@
             self._note(msgspec.structs.replace(self.state, want=want), *([("again",)] if again else []))
             return
         self.crashes.clear()
+        self.retry_at = 0
         self._log("wants", release=want.version.release, settings=want.version.settings, number=want.number)
         self._note(msgspec.structs.replace(self.state, want=want), ("go on",))
 
@@ -151,7 +193,13 @@
         wanted = self._wanted()
         if self.leaving:
             return
-        if self.phase == "running":
+        if self.phase == "succeeding":
+            if self.heir_alive and wanted is not None and wanted != self.state.heir:
+                self._log("heir given up", life=self.state.heir_life)
+                self.effects.append(("term_heir", self.state.heir_life))
+        elif self.phase == "running":
+            if self.beside and (self.elder or self.retry_at > self.now or len(self.crashes) >= LOOP_COUNT):
+                return
             if wanted is not None and wanted != self.state.running:
                 self.phase, self.next, self.why = "verifying", wanted, "another version is wanted"
                 self.effects.append(("verify", wanted))
@@ -170,6 +218,8 @@
             if self.next == self._wanted() and self.state.want is not None:
                 # What is not here, or is not what is meant, is not tried again; what runs goes on.
                 self._note(msgspec.structs.replace(self.state, refused=self.state.want), ("go on",))
+        elif alive and self.beside:
+            self._spawn_heir(self.next)
         elif alive:
             self._stop("another version is wanted")
         else:
@@ -180,7 +230,10 @@
             if effect[0] == "go on":
                 self._go_on()
             elif effect[0] == "again":
-                if self.phase == "running":
+                if self.phase == "running" and self.beside:
+                    if not self.elder and self.state.running is not None:
+                        self._spawn_heir(self.state.running)
+                elif self.phase == "running":
                     self.next = self.state.running
                     self._stop("it is started anew")
             else:
@@ -188,19 +241,48 @@
 
     # ---- starts and stops
 
+    def _next_life(self) -> int:
+        return max(self.state.life, self.state.last) + 1
+
     def _spawn(self, version: Version) -> None:
-        life = self.state.life + 1
+        life = self._next_life()
         self.phase = "spawning"
         self._note(msgspec.structs.replace(self.state, running=version, life=life), ("spawn", life, version))
 
+    def _spawn_heir(self, version: Version) -> None:
+        life = self._next_life()
+        self.phase, self.heir_since, self.heir_alive = "succeeding", self.now, False
+        state = msgspec.structs.replace(self.state, heir=version, heir_life=life, last=life)
+        self._note(state, ("spawn", life, version))
+
     def _spawned(self, pid: int) -> None:
+        if self.phase == "succeeding":
+            self.heir_alive, self.heir_since = True, self.now
+            self._log("heir started", pid=pid, life=self.state.heir_life)
+            self._go_on()
+            return
         self.alive, self.started, self.phase, self.why = True, self.now, "running", ""
         self.killed = False
         self._log("started", pid=pid, life=self.state.life, release=self._of("release"))
         self._go_on()
 
+    def _served(self, life: int) -> None:
+        """This life serves now, as it says itself."""
+        state = self.state
+        if life != state.heir_life or not life or self.phase != "succeeding":
+            return
+        self.elder, self.elder_since, self.elder_killed = state.life if self.alive else 0, self.now, False
+        self.alive, self.started, self.heir_alive = True, self.now, False
+        self.phase, self.why = "running", ""
+        self._log("serves", life=life, release=state.heir.release if state.heir is not None else "")
+        changed = msgspec.structs.replace(state, running=state.heir, life=life, heir=None, heir_life=0)
+        self._note(changed, ("go on",))
+
     def _unspawned(self, why: str) -> None:
         self._log("unstarted", why=why)
+        if self.phase == "succeeding":
+            self._heir_crashed(f"it could not be started: {why}")
+            return
         self._crashed(f"it could not be started: {why}")
 
     def _of(self, name: str) -> Any:
@@ -210,9 +292,24 @@
         self.phase, self.stopping, self.why = "stopping", self.now, why
         self.effects.append(("term",))
 
-    def _exited(self, code: int) -> None:
+    def _exited(self, code: int, life: int = 0) -> None:
+        """`life`: which; none: the one that serves."""
+        if life and life == self.elder:
+            self._log("elder gone", code=code, life=life, after_ms=(self.now - self.elder_since) // MS)
+            self.elder = 0
+            if self.phase == "running":
+                self._go_on()
+            return
+        if life and life == self.state.heir_life and self.phase == "succeeding":
+            self._heir_crashed(f"it ended by itself with {code} before it served")
+            return
+        if life and life != self.state.life:
+            return
         ran = self.now - self.started
         self.alive = False
+        if self.phase == "succeeding" and not self.leaving:
+            self._log("exited", code=code, life=self.state.life, ran_ms=ran // MS)
+            return  # its heir comes to serve without it, or is taken for one that does not
         self._log("exited", code=code, life=self.state.life, ran_ms=ran // MS)
         if self.leaving:
             self.effects.append(("end",))
@@ -227,9 +324,28 @@
         else:
             self._crashed(f"it ended by itself with {code} after {ran // MS} ms")
 
-    def _crashed(self, why: str) -> None:
+    def _heir_crashed(self, why: str) -> None:
+        """What serves goes on; where that is gone too it is as any crash."""
+        state, self.heir_alive = self.state, False
+        given_up = self._wanted() != state.heir
+        if not self.alive:
+            self._note(msgspec.structs.replace(state, heir=None, heir_life=0))
+            self._crashed(why)
+            return
+        self.phase, self.why = "running", why
+        if not given_up:
+            self._count_crash()
+            self.retry_at = self.now + min(BACKOFF_LAST, BACKOFF_FIRST << (len(self.crashes) - 1))
+            looped = len(self.crashes) >= LOOP_COUNT
+            self._log("crash loop" if looped else "heir lost", why=why, crashes=len(self.crashes))
+        self._note(msgspec.structs.replace(state, heir=None, heir_life=0), ("go on",))
+
+    def _count_crash(self) -> None:
         self.crashed_in_all += 1
         self.crashes = [at for at in self.crashes if self.now - at < LOOP_SPAN] + [self.now]
+
+    def _crashed(self, why: str) -> None:
+        self._count_crash()
         self.why = why
         if len(self.crashes) >= LOOP_COUNT:
             self.phase = "failed"
@@ -249,6 +365,20 @@
             self._note(msgspec.structs.replace(self.state, refused=want), ("go on",))
 
     def _elapsed(self) -> None:
+        if (
+            self.elder
+            and not self.elder_killed
+            and (self.now >= self.elder_since + self.stop_span + KILL_AFTER)
+        ):
+            self.elder_killed = True
+            self._log("killed", life=self.elder)
+            self.effects.append(("kill_life", self.elder))
+        if self.phase == "succeeding":
+            if self.now >= self.heir_since + SUCCEED_SPAN:
+                self.heir_since = self.now
+                self._log("killed", life=self.state.heir_life, why="it does not come to serve")
+                self.effects.append(("kill_life", self.state.heir_life))
+            return
         if self.phase == "stopping" and not self.killed:
             if self.now >= self.stopping + self.stop_span + KILL_AFTER:
                 self.killed = True
@@ -265,6 +395,8 @@
         ):
             self._log("good", release=self._of("release"), settings=self._of("settings"))
             self._note(msgspec.structs.replace(self.state, good=self.state.running))
+        elif self.phase == "running" and self.beside:
+            self._go_on()
 
     def _leave(self) -> None:
         """The steward ends; its server runs on, and is found again."""
--- a/thistleline/steward/service.py
+++ b/thistleline/steward/service.py
@@ -14,6 +14,7 @@
 import msgspec
 import orjson
 
+from thistleline.attended.owner import read_owner
 from thistleline.conf.schema import Conf
 from thistleline.lease.client import Council
 from thistleline.lease.terms import Get, Got
@@ -24,6 +25,7 @@
 from thistleline.store.clock import boot_now, wall_ms
 from thistleline.store.latest import Latest
 
+TAIL = 0.1  # s between two looks at what the server says
 POLL = 0.25  # s between two questions to the council
 FIND_SPAN = 3.0  # s for a server that was being started to say who it is
 LOG_BOUND = 64 << 20  # bytes of a server's log, cut to nothing past it
@@ -59,12 +61,14 @@
         self.folder: Path = conf.steward.folder
         self.latest = Latest(self.folder / "state", "steward")
         self.releases = Releases(conf.steward.releases or self.folder / "releases")
-        self.keeping = Keeping(conf.steward.stop, boot_now())
+        self.handover = None if conf.handover is None else conf.handover.folder
+        self.keeping = Keeping(conf.steward.stop, boot_now(), self.handover is not None)
         self.name = conf.members.name
         self.born = wall_ms()
         self.member = MemberService(conf.members, Facts("", 0, conf.members.zone, self.born), log)
-        self.pid = 0
+        self.pids: dict[int, int] = {}  # of lives that run
         self.up_at = 0
+        self.told_life = 0  # whose figures these are
         self.figures = [0] * len(FIGURES)
         self.worth = (0, 0)
         self.memory = 0
@@ -79,7 +83,10 @@
             group.start_soon(self.member.run)
             state = _state(self.latest.value) if self.latest.value else State()
             alive = await self._find(state)
-            self.take("recovered", state, alive)
+            rest = [life for life in alive if life not in (state.life, state.heir_life)]
+            lives, heir_lives = state.life in alive, state.heir is not None and state.heir_life in alive
+            self.take("recovered", state, lives, heir_lives, max(rest, default=0))
+            self._ask_owner()
             group.start_soon(self._pump)
             group.start_soon(self._poll)
             group.start_soon(self._tail)
@@ -107,16 +114,20 @@
         elif kind == "tell":
             self._tell()
         elif kind == "term":
-            self._signal(signal.SIGTERM)
+            self._signal(self.keeping.state.life, signal.SIGTERM)
         elif kind == "kill":
-            self._signal(signal.SIGKILL)
+            self._signal(self.keeping.state.life, signal.SIGKILL)
+        elif kind == "term_heir":
+            self._signal(told[0], signal.SIGTERM)
+        elif kind == "kill_life":
+            self._signal(told[0], signal.SIGKILL)
         elif kind in ("note", "verify", "spawn"):
             self.group.start_soon(getattr(self, f"_{kind}"), *told)
 
-    def _signal(self, number: int) -> None:
-        if self.pid:
+    def _signal(self, life: int, number: int) -> None:
+        if life in self.pids:
             with suppress(ProcessLookupError):
-                os.kill(self.pid, number)
+                os.kill(self.pids[life], number)
 
     # ---- state and releases
 
@@ -163,9 +174,11 @@
         base.mkdir(exist_ok=True)
         return base / f"{life}.pid", base / f"{life}.json", base / f"{life}.log"
 
-    def _lock(self) -> int | None:
-        """The lock that a server holds as long as it lives; none if one lives."""
-        lock = os.open(self.folder / "server.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    def _lock(self, life: int) -> int | None:
+        """The lock that a server holds as long as it lives; none if one has it. Where servers don't follow
+        one another beside each other there is one for all lives."""
+        place = self.folder / "server.lock" if self.handover is None else self._paths(life)[0]
+        lock = os.open(place.with_suffix(".lock"), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
@@ -173,27 +186,41 @@
             return None
         return lock
 
-    async def _find(self, state: State) -> bool:
-        """Whether a server of an earlier steward lives, also one whose start was not seen through."""
-        lock = self._lock()
-        if lock is not None:
-            os.close(lock)
-            return False
-        place = self._paths(state.life)[0]
-        with anyio.move_on_after(FIND_SPAN):
-            while not place.exists():
-                await anyio.sleep(0.02)
-        try:
-            self.pid = int(place.read_text())
-            watched = os.pidfd_open(self.pid)
-        except (OSError, ValueError) as error:
-            raise Unfit(f"a server has {self.folder}/server.lock and can't be found: {error}") from error
-        self.group.start_soon(self._watch, watched, None)
-        self.up_at = boot_now() - self.conf.warm
-        return True
+    async def _find(self, state: State) -> list[int]:
+        """Which servers of earlier stewards live, also one whose start was not seen through."""
+        known = [state.life]
+        if self.handover is not None:
+            known = sorted(int(place.stem) for place in (self.folder / "lives").glob("*.lock"))
+        found = []
+        for life in known:
+            lock = self._lock(life)
+            if lock is not None:
+                os.close(lock)
+                continue
+            place = self._paths(life)[0]
+            with anyio.move_on_after(FIND_SPAN):
+                while not place.exists():
+                    await anyio.sleep(0.02)
+            try:
+                self.pids[life] = int(place.read_text())
+                watched = os.pidfd_open(self.pids[life])
+            except (OSError, ValueError) as error:
+                raise Unfit(f"a server of life {life} has its lock and can't be found: {error}") from error
+            self.group.start_soon(self._watch, life, watched, None)
+            self.up_at = boot_now() - self.conf.warm
+            found.append(life)
+        return found
+
+    def _ask_owner(self) -> None:
+        """Which life serves, by its own word."""
+        if self.handover is not None and self.keeping.phase == "succeeding":
+            owner = read_owner(self.handover)
+            if owner is not None and owner[0] == self.keeping.state.heir_life:
+                self.up_at = boot_now()
+                self.take("served", owner[0])
 
     async def _spawn(self, life: int, version: Version) -> None:
-        lock = self._lock()
+        lock = self._lock(life)
         if lock is None:
             self.take("unspawned", "a server lives already")
             return
@@ -204,7 +231,8 @@
                 told = (self.folder / "settings" / f"{version.settings}.json").read_bytes()
                 plate["settings"] = orjson.loads(told)
             conf_place.write_bytes(orjson.dumps(plate))
-            env = {**os.environ, "ROUTER_CONFIG": str(conf_place), "ROUTER_RELEASE": version.release}
+            env = {**os.environ, "ROUTER_CONFIG": str(conf_place), "ROUTER_RELEASE": version.release,
+                   "ROUTER_LIFE": str(life)}  # fmt: skip
             words = [
                 "/bin/sh",
                 "-c",
@@ -229,20 +257,23 @@
             return
         finally:
             os.close(lock)  # the server has it now, and alone
-        self.pid, self.up_at = process.pid, boot_now()
-        lives = sorted(pid_place.parent.glob("*.*"), key=lambda path: path.stat().st_mtime)
-        for old in lives[: -3 * LIVES_KEPT]:
-            old.unlink(missing_ok=True)
-        self.group.start_soon(self._watch, os.pidfd_open(process.pid), process)
+        self.pids[life] = process.pid
+        if self.keeping.phase != "succeeding":
+            self.up_at = boot_now()
+        for old in pid_place.parent.glob("*.*"):
+            if old.stem.isdecimal() and int(old.stem) <= life - LIVES_KEPT and int(old.stem) not in self.pids:
+                old.unlink(missing_ok=True)
+        self.group.start_soon(self._watch, life, os.pidfd_open(process.pid), process)
         self.take("spawned", process.pid)
 
-    async def _watch(self, watched: int, process: Any) -> None:
+    async def _watch(self, life: int, watched: int, process: Any) -> None:
         """Of a server that another steward started the exit code is not known: -1."""
         await anyio.wait_readable(watched)
         os.close(watched)
         code = await process.wait() if process is not None else -1
-        self.pid = 0
-        self.take("exited", code)
+        self.pids.pop(life, None)
+        self._ask_owner()  # it may have served before it ended
+        self.take("exited", code, life)
 
     # ---- what is wanted, and what others hear
 
@@ -259,10 +290,14 @@
         """Reads what the server says of itself."""
         place, read = Path(), 0
         while True:
-            await anyio.sleep(0.2)
+            await anyio.sleep(TAIL)
+            self._ask_owner()
             current = self._paths(self.keeping.state.life)[2]
             if current != place:
                 place, read = current, 0
+                # Guards against the figures of one life being taken for those of the next.
+                self.figures, self.worth, self.memory = [0] * len(FIGURES), (0, 0), 0
+                self.told_life = self.keeping.state.life
             with suppress(OSError):
                 size = place.stat().st_size
                 if size > LOG_BOUND:
@@ -291,7 +326,9 @@
     def _tell(self) -> None:
         keeping = self.keeping
         running = keeping.state.running or Version()
-        up = keeping.phase == "running" and self.pid > 0
+        up = keeping.serves and keeping.state.life in self.pids
+        known = self.told_life == keeping.state.life
+        figures = (*self.figures, self.memory) if known else (0,) * (len(FIGURES) + 1)
         facts = Facts(
             running.release if up else "",
             running.settings if up else 0,
@@ -299,8 +336,8 @@
             self.born,
             up and boot_now() - self.up_at >= self.conf.warm,
             up,
-            (*self.figures, self.memory, keeping.crashed_in_all, keeping.state.life),
-            self.worth,
+            (*figures, keeping.crashed_in_all, keeping.state.life),
+            self.worth if known else (0, 0),
         )
         for effect in self.member.gossip.take(boot_now(), "tell", facts):
             if effect[0] == "log":
