Islands of members find each other, ports of labs are held, a change without room asks

Causes, seen in labs that stuck. (1) 'Three machines stuck once': of members that came up at the same time c0 and m0 knew each other alone, and m1, m2, c1 each other; 'members list' of each showed two whole islands for good. Gossip joined only where nobody was known (gossip.py, _period) and probes only whom it knows. (2) A server's port went to an outgoing connection of another process between being found free and being listened on (m6: 'Address already in use', ten lives): free ports came from the system's own range. Ruled out: a conductor that stands (its loop ran, py-spy), the council (it answered). (3) A machine that stayed down took its zone's room, and the change waited for it in silence.

Change: every ten periods a seed that is not known to live is told; the harness holds ports under 32,000 by a lock while it lives, one free_port for all; no room for the span of 'change' asks a person, and says who is down. tests/test_rolls.py uses the lab's machines instead of its own, one after another and beside.

--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -94,6 +94,21 @@
     assert 0 <= told["healed_after"] < 60
 
 
+def test_islands_that_came_up_at_the_same_time_hear_of_each_other() -> None:
+    """Two and two know each other and nobody else; the seeds of each are all four."""
+    fleet = VirtualFleet(0, 1)
+    seeds = ("m0", "m1", "m2", "m3")
+    for id in seeds:
+        fleet.add(id, 1, FACTS, seeds)
+    half = ("m0", "m1")
+    fleet.cut = lambda source, to: (source in half) != (to in half)
+    fleet.run(5 * SECOND)
+    assert set(fleet.members["m0"].view.words) == {"m0", "m1"}
+    fleet.cut = lambda source, to: False
+    fleet.run(25 * SECOND)
+    assert all(set(one.view.words) == set(seeds) for one in fleet.members.values())
+
+
 def test_one_cut_one_way_is_found_and_comes_back() -> None:
     fleet = VirtualFleet(20, 1)
     fleet.cut = lambda source, to: source == "m0"
--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -2,17 +2,13 @@
 
 import hashlib
 import json
-import os
-import signal
-import subprocess
-import sys
-import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
 from typing import Any
 
+import anyio
 import msgspec
 import pytest
 
@@ -21,7 +17,8 @@
 from thistleline.conductor.judge import Judge, Slot
 from thistleline.conductor.roll import STAGES, Order, Roll, Seen, controls, targets, wrong
 from thistleline.lab.explore import explore
-from thistleline.lab.harness import free_port
+from thistleline.lab.ledger import SETTINGS
+from thistleline.lab.machines import Machines
 from thistleline.lab.mutants import without
 from thistleline.lab.roll import HARMS, Harm, roll
 from thistleline.lab.stewardworld import BesideWorld, StewardWorld, following, following_beside, wander
@@ -178,6 +175,26 @@
     assert len(stage.wants) == 3
 
 
+def test_one_that_stays_down_and_leaves_no_room_is_asked_about_not_waited_for() -> None:
+    stage = Stage(9, stages=("all",), down=3, down_zone=1)
+    stage.show("s03", alive=False, taking=False)
+    for id in ("s01", "s02", "s04", "s05", "s07", "s08"):
+        for _ in range(2):
+            stage.step()
+        for wanted, version in stage.wants:
+            stage.show(wanted, release=version.release)
+        assert stage.members[id].zone != "z0"
+    for _ in range(200):
+        stage.step()
+    assert stage.roll is not None
+    assert stage.roll.phase == "asking"
+    assert "no room to change s00: down are s03" in stage.roll.why
+    stage.show("s03", alive=True, taking=True)
+    stage.put("order", Order(2, "resume", "it is back"))
+    stage.step()
+    assert stage.wants[-1][0] == "s00"
+
+
 def test_a_change_while_another_runs_is_refused_and_a_pause_holds_all() -> None:
     stage = Stage(9)
     stage.step()
@@ -406,213 +423,89 @@
 # ---- programs
 
 
-SERVER = """
-import json, os, signal, socket, sys, time
-plate = json.loads(open(os.environ["ROUTER_CONFIG"]).read())
-mark = open(plate["marks"], "a", buffering=1)
-listener = socket.socket()
-listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-try:
-    listener.bind(("127.0.0.1", plate["port"]))
-    listener.listen()
-except OSError:
-    mark.write("twice\\n")
-    sys.exit(9)
-release = os.environ["ROUTER_RELEASE"]
-mark.write(f"begin {release} {os.getpid()}\\n")
-if release == "bad":
-    sys.exit(3)
-def leave(*_):
-    mark.write(f"end {release}\\n")
-    sys.exit(0)
-signal.signal(signal.SIGTERM, leave)
-count = 0
-while True:
-    count += 10
-    told = {"event": "figures", "tasks": count, "finished": count, "rejected": 0, "abandoned": 0}
-    print(json.dumps({**told, "peak_kb": 9000}), flush=True)
-    time.sleep(0.1)
-"""
-
-
-@contextmanager
-def programs() -> Iterator[Callable[..., subprocess.Popen[bytes]]]:
-    """Starts commands of the program; ends all that were."""
-    started: list[subprocess.Popen[bytes]] = []
-
-    def start(log: Path, *words: str) -> subprocess.Popen[bytes]:
-        command = [sys.executable, "-m", "thistleline", *words]
-        process = subprocess.Popen(command, stdout=log.open("ab"), stderr=subprocess.STDOUT)
-        started.append(process)
-        return process
-
-    try:
-        yield start
-    finally:
-        for process in started:
-            process.kill()
-            process.wait()
-
-
-class Machines:
-    """Voters, stewards on some machines, and conductors, all of them programs."""
-
-    def __init__(self, folder: Path, start: Callable[..., subprocess.Popen[bytes]], count: int) -> None:
-        self.folder, self.start = folder, start
-        self.voters = {name: free_port() for name in "abc"}
-        self.where = [
-            word for name, port in self.voters.items() for word in ("--voter", f"{name}=127.0.0.1:{port}")
-        ]
-        self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.confs: dict[str, tuple[str, Path]] = {}
-        council = "".join(f"council voter {name}=127.0.0.1:{port}\n" for name, port in self.voters.items())
-        for name, port in self.voters.items():
-            told = f"council folder {folder}/{name}\ncouncil name {name}\ncouncil listen 127.0.0.1:{port}\n"
-            self.make("council", name, told + "council election 200ms\ncouncil heartbeat 40ms\n")
-        ports = {f"m{place}": free_port() for place in range(count)} | {
-            f"c{place}": free_port() for place in range(2)
-        }
-        seeds = f"members seed x=127.0.0.1:{ports['m0']}\nmembers seed y=127.0.0.1:{ports['m1']}\n"
-        for place, (name, port) in enumerate(ports.items()):
-            told = f"members name {name}\nmembers listen 127.0.0.1:{port}\nmembers period 150ms\n"
-            told += seeds + council
-            if name.startswith("m"):
-                home = folder / name
-                home.mkdir()
-                plate = {"port": free_port(), "marks": str(folder / f"{name}.marks")}
-                (home / "plate.json").write_text(json.dumps(plate))
-                told += (f"members zone z{place % 3}\nsteward folder {home}\n"
-                         f"steward plate {home}/plate.json\n"
-                         f"steward releases {folder}/releases\nsteward stop 1s\n"
-                         "steward warm 1s\n")  # fmt: skip
-                self.make("steward", name, told)
-            else:
-                told += "conductor lease 2s\nconductor slot 300ms\nconductor enough 4\nconductor change 15s\n"
-                self.make("conductor", name, told)
-        for release in ("old", "new", "bad"):
-            source = folder / "sources" / release
-            source.mkdir(parents=True)
-            (source / "server.py").write_text(SERVER + f"# {release}\n")
-            (source / "run").write_text(f"#!/bin/sh\nexec {sys.executable} server.py\n")
-            (source / "run").chmod(0o755)
-            Releases(folder / "releases").add(release, source)
-
-    def make(self, kind: str, name: str, text: str) -> None:
-        path = self.folder / f"{name}.conf"
-        path.write_text(text)
-        self.confs[name] = kind, path
-        self.go(name)
-
-    def go(self, name: str) -> None:
-        kind, path = self.confs[name]
-        self.processes[name] = self.start(self.folder / f"{name}.log", kind, "--conf", str(path))
-
-    def run(self, *words: str) -> subprocess.CompletedProcess[str]:
-        command = [sys.executable, "-m", "thistleline", *words[:2], *self.where, *words[2:]]
-        return subprocess.run(command, capture_output=True, text=True, timeout=30, env=dict(os.environ))
-
-    def until(self, what: str, true: Callable[[], bool], span: float = 60.0) -> None:
-        due = time.monotonic() + span
-        while not true():
-            assert time.monotonic() < due, (
-                f"{what}: {self.status()} {[self.marks(f'm{k}') for k in range(3)]}"
-            )
-            time.sleep(0.05)  # the pace of a look from outside; nothing is waited for by it
-
-    def status(self) -> dict[str, Any]:
-        told = self.run("roll", "status", "--json").stdout
-        found: dict[str, Any] = json.loads(told) if told.startswith("{") else {}
-        return found
-
-    def marks(self, name: str) -> list[str]:
-        path = self.folder / f"{name}.marks"
-        return path.read_text().splitlines() if path.exists() else []
-
-    def runs(self, name: str) -> str:
-        """The release that its server runs, nothing if none does."""
-        marks = self.marks(name)
-        return marks[-1].split()[1] if marks and marks[-1].startswith("begin") else ""
-
-    def release(self, name: str) -> str:
-        return str(self.folder / "releases" / name)
-
-    def close(self) -> None:
-        """Servers outlive their stewards, so they are ended by what they said of themselves."""
-        for path in self.folder.glob("*.marks"):
-            for mark in path.read_text().splitlines():
-                if mark.startswith("begin"):
-                    try:
-                        os.kill(int(mark.split()[2]), signal.SIGKILL)
-                    except ProcessLookupError:
-                        continue
-
-
-@contextmanager
-def machines(folder: Path, count: int) -> Iterator[Machines]:
-    with programs() as start:
-        made = Machines(folder, start, count)
+@asynccontextmanager
+async def machines(folder: Path, count: int, beside: bool) -> AsyncIterator[Machines]:
+    async with anyio.create_task_group() as group:
+        made = Machines(folder, group, 1, count, 3, beside, "1s")
         try:
-            made.until("voters", lambda: "unformed" in made.run("council", "status").stdout)
-            made.until("formed", lambda: made.run("council", "form").returncode == 0)
-            made.until("led", lambda: made.run("council", "status").returncode == 0)
+            await made.start()
+            group.start_soon(made.call)
             yield made
         finally:
             made.close()
+            group.cancel_scope.cancel()
+
 
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
 
-def test_a_change_goes_through_three_machines_and_a_bad_one_is_taken_back(tmp_path: Path) -> None:
-    with machines(tmp_path, 3) as fleet:
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("beside", [False, True], ids=["one after another", "beside"])
+async def test_a_change_goes_through_three_machines_and_a_bad_one_is_taken_back(
+    tmp_path: Path, beside: bool
+) -> None:
+    async with machines(tmp_path, 3, beside) as fleet:
         names = ["m0", "m1", "m2"]
-        base = ("--from-release", fleet.release("old"))
-        order = ("roll", "start", "--down", "3", "--down-zone", "3", "--stage", "all")
+
+        def all_run(release: str) -> bool:
+            return all(fleet.serving(name)[0] == release for name in names)
+
         # At first nothing runs: the base is brought to all by a change from nothing.
-        fleet.until("order", lambda: fleet.run(*order, "--release", fleet.release("old")).returncode == 0)
-        fleet.until("all old", lambda: all(fleet.runs(name) == "old" for name in names))
-        fleet.until("done", lambda: fleet.status().get("phase") == "done")
+        folder = str(tmp_path / "releases")
+        order = ("roll", "start", "--down", "3", "--down-zone", "3", "--stage", "all")
+        assert (await fleet.command(*order, "--release", f"{folder}/base")).returncode == 0
+        await fleet.until("all base", lambda: all_run("base"))
+        assert (await fleet.through(60, 1)).phase == "done"
 
         # A steward is killed, its server runs on and is found again.
-        pid = fleet.marks("m1")[-1].split()[2]
-        fleet.processes["m1"].kill()
-        fleet.processes["m1"].wait()
-        fleet.go("m1")
-
-        # A good one goes through, its conductor killed on the way.
-        assert (
-            fleet.run(
-                *order[:-1], "one", "--stage", "all", "--release", fleet.release("new"), *base
-            ).returncode
-            == 0
-        )
-        fleet.until("one new", lambda: any(fleet.runs(name) == "new" for name in names))
-        assert fleet.marks("m1")[0].split()[2] == pid
+        life = fleet.serving("m1")[1]
+        fleet.fleet.processes["m1"].kill()
+        fleet.fleet.processes["m1"].start()
+
+        # A good one goes through, its conductors killed on the way.
+        stages = (*order[:-1], "one", "--stage", "all", "--release")
+        told = await fleet.command(*stages, f"{folder}/good", "--from-release", f"{folder}/base")
+        assert told.returncode == 0
+        await fleet.until("one good", lambda: any(fleet.serving(name)[0] == "good" for name in names))
+        assert fleet.serving("m1") == ("base", life)
         for name in ("c0", "c1"):
-            fleet.processes[name].kill()
-            fleet.processes[name].wait()
-            fleet.go(name)
-        fleet.until("all new", lambda: all(fleet.runs(name) == "new" for name in names))
-        fleet.until("done", lambda: fleet.status().get("phase") == "done")
+            fleet.fleet.processes[name].kill()
+            fleet.fleet.processes[name].start()
+        assert (await fleet.through(90, 2)).phase == "done"
+        await fleet.until("all good", lambda: all_run("good"))
 
         # A bad one is stopped at the first server and taken back.
-        assert (
-            fleet.run(*order[:-1], "one", "--stage", "all", "--release", fleet.release("bad")).returncode == 0
-        )
-        fleet.until("back", lambda: fleet.status().get("phase") == "back")
-        fleet.until("all new again", lambda: all(fleet.runs(name) == "new" for name in names))
-        reached = [name for name in names if any("begin bad" in mark for mark in fleet.marks(name))]
+        assert (await fleet.command(*stages, f"{folder}/no-start")).returncode == 0
+        assert (await fleet.through(60, 3)).phase == "back"
+        await fleet.until("all good again", lambda: all_run("good"))
+        reached = fleet.reached("no-start")
         assert len(reached) == 1
-        assert not any("twice" in mark for name in names for mark in fleet.marks(name))
-        assert "crashes of new servers" in fleet.run("roll", "history").stdout
-
-
-def test_settings_are_checked_before_they_are_kept_and_never_change(tmp_path: Path) -> None:
-    from thistleline.lab.ledger import SETTINGS
-
-    with machines(tmp_path, 2) as fleet:
-        good, bad = tmp_path / "good.json", tmp_path / "bad.json"
-        good.write_text(json.dumps(SETTINGS))
-        bad.write_text(json.dumps({**SETTINGS, "classes": 3}))
-        assert fleet.run("settings", "add", "1", str(bad)).returncode == 2
-        told = fleet.run("settings", "add", "1", str(good))
-        assert hashlib.sha256(good.read_bytes()).hexdigest() in told.stdout
-        assert fleet.run("settings", "add", "1", str(good)).returncode == 1
-        assert json.loads(fleet.run("settings", "show", "1").stdout) == SETTINGS
+        if beside:  # its server never went away
+            assert fleet.serving(reached[0])[1] == 2
+        assert b"back" in (await fleet.command("roll", "history")).stdout
+        fleet.calling.cancel()
+        judged = fleet.judged()
+        broken = ("run_twice", "rejected_after_run", "acknowledged_and_lost", "another_result")
+        assert [judged.get(what, 0) for what in broken] == 4 * [0]
+
+
+@pytest.mark.anyio
+async def test_settings_are_checked_before_they_are_kept_and_never_change(tmp_path: Path) -> None:
+    async with anyio.create_task_group() as group:
+        fleet = Machines(tmp_path, group, 1, 1, 1)
+        try:
+            await fleet.fleet.start_voters()
+            await fleet.fleet.form()
+            good, bad = tmp_path / "good.json", tmp_path / "bad.json"
+            good.write_text(json.dumps(SETTINGS))
+            bad.write_text(json.dumps({**SETTINGS, "classes": 3}))
+            assert (await fleet.command("settings", "add", "1", str(bad))).returncode == 2
+            told = await fleet.command("settings", "add", "1", str(good))
+            assert hashlib.sha256(good.read_bytes()).hexdigest().encode() in told.stdout
+            assert (await fleet.command("settings", "add", "1", str(good))).returncode == 1
+            assert json.loads((await fleet.command("settings", "show", "1")).stdout) == SETTINGS
+        finally:
+            fleet.close()
+            group.cancel_scope.cancel()
--- a/thistleline/conductor/conducting.py
+++ b/thistleline/conductor/conducting.py
@@ -59,6 +59,8 @@
         self.crashes: dict[str, int] = {}  # figures of crashes as the stage began
         self.restarted: set[str] = set()  # controls of this stage, once each
         self.cold_old: dict[str, tuple[int, float]] = {}  # what judges of this change have learned of it
+        self.no_room: tuple[str, ...] = ()  # who would be changed next, if others were not down
+        self.no_room_since = now
         self.verdict: tuple[str, list[Any], str] = ("can't tell", [], "")
 
     def take(self, now: int, kind: str, *told: Any) -> list[tuple[Any, ...]]:
@@ -98,6 +100,7 @@
     def _recorded(self) -> None:
         assert self.recording is not None
         before, self.roll, self.recording = self.roll, self.recording, None
+        self.no_room_since = self.now
         if before is None or (before.number, before.stage) != (self.roll.number, self.roll.stage):
             self._begin_stage()
         if before is None or before.number != self.roll.number:
@@ -203,6 +206,11 @@
         if late:
             self._record("back", f"{late[0]} does not come up with it", phase="backing")
             return
+        if self.no_room and self.now - self.no_room_since >= self.spans.change:
+            down = [one.id for one in self.members.values() if not one.up]
+            why = f"no room to change {self.no_room[0]}: down are {', '.join(down[:8]) or 'none'}"
+            self._record("ask", why, phase="asking")
+            return
         self._judged(roll)
 
     def _judged(self, roll: Roll) -> None:
@@ -241,10 +249,13 @@
 
     def _bring(self, roll: Roll, should: dict[str, Version]) -> None:
         """Towards what each should run, with no more down at once than is allowed, whoever took them down."""
+        moved = False
         for id in list(self.changing):
             if id not in self.members or self._is(id, self.changing[id][0]):
                 del self.changing[id]
+                moved = True
         down: dict[str, int] = {}
+        no_room: list[str] = []
         for one in self.members.values():
             if not one.up or one.id in self.changing:
                 down[one.zone] = down.get(one.zone, 0) + 1
@@ -262,6 +273,12 @@
                     down[one.zone] = down.get(one.zone, 0) + 1
                 self.changing[id] = version, self.now
                 self.effects.append(("want", id, version, 0))
+                moved = True
+            else:
+                no_room.append(id)
+        if moved or not no_room:
+            self.no_room_since = self.now
+        self.no_room = tuple(no_room)
         if roll.phase == "going":
             self._restart_controls(roll, down)
 
--- a/thistleline/lab/harness.py
+++ b/thistleline/lab/harness.py
@@ -4,6 +4,7 @@
 run fails its folder is kept: logs, settings and the plan of faults.
 """
 
+import fcntl
 import json
 import os
 import shutil
@@ -30,15 +31,36 @@
 HEARTBEAT, ELECTION = "40ms", "250ms"
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return int(free.getsockname()[1])
-
-
 class Hung(Exception):
     """What was awaited did not come."""
 
 
+PORTS = range(15_000, 32_000)  # below those that the system gives to connections that go out
+_held_ports: list[int] = []
+
+
+def free_port() -> int:
+    """A port that is this process's own as long as it lives, used or not. Guards against one that goes to a
+    connection of somebody else between being found free and being listened on, and against runs beside each
+    other."""
+    folder = Path(tempfile.gettempdir()) / "thistleline-ports"
+    folder.mkdir(mode=0o777, exist_ok=True)
+    first = Random(os.urandom(8)).randrange(len(PORTS))
+    for place in range(len(PORTS)):
+        port = PORTS[(first + place) % len(PORTS)]
+        lock = os.open(folder / str(port), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o666)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            with socket.create_server(("127.0.0.1", port)):
+                pass
+        except OSError:
+            os.close(lock)
+            continue
+        _held_ports.append(lock)
+        return port
+    raise Hung("no port is free")
+
+
 class Process:
     """One process of the program, one life after another."""
 
--- a/thistleline/lab/ledger.py
+++ b/thistleline/lab/ledger.py
@@ -8,7 +8,6 @@
 import os
 import random
 import resource
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,6 +23,7 @@
 
 from thistleline.lab.caller import Caller, Told
 from thistleline.lab.farm import FarmStandIn
+from thistleline.lab.harness import free_port
 from thistleline.ledger import form
 from thistleline.ledger.book import Book
 from thistleline.ledger.form import Intent, Outcome
@@ -112,11 +112,6 @@
         return [json.loads(line) for line in lines if line.startswith(b"{") and line.endswith(b"}")]
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return int(free.getsockname()[1])
-
-
 def judge(farm: FarmStandIn, told: list[Told]) -> dict[str, int]:
     """The oracle: the agent's record against what callers were told."""
     figures: Counter[str] = Counter(
--- a/thistleline/lab/machines.py
+++ b/thistleline/lab/machines.py
@@ -1,11 +1,16 @@
 """Machines under stewards, with the program itself as their servers, farm agents and callers: a fleet that is
 rolled while parts of it fail. Built on the harness (lab/harness.py)."""
 
+import fcntl
 import json
+import os
+import signal
+import subprocess
 import sys
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -43,8 +48,8 @@
 class Machine:
     """One: its agent, its callers, and what its steward is told."""
 
-    def __init__(self, name: str, zone: str, folder: Path, seed: int) -> None:
-        self.name, self.zone, self.folder = name, zone, folder
+    def __init__(self, name: str, zone: str, folder: Path, seed: int, beside: bool) -> None:
+        self.name, self.zone, self.folder, self.beside = name, zone, folder, beside
         self.port = free_port()
         self.farm = FarmStandIn(seed, (0.005, 0.05))
         self.caller = Caller(lambda: ("127.0.0.1", self.port), seed, 4, "booking", "studio")
@@ -57,15 +62,31 @@
                  "announce": "127.0.0.1:9", "seed": "1f", "stop_ms": 1500, "settings": SETTINGS,
                  "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 512}}  # fmt: skip
         (self.folder / "plate.json").write_text(json.dumps(plate))
-        (self.folder / "ledger.conf").write_text(f"ledger folder {self.folder}/ledger\nledger disk 16M\n")
+        told = f"ledger folder {self.folder}/ledger\nledger disk 16M\n{self.handover}"
+        (self.folder / "ledger.conf").write_text(told)
+
+    @property
+    def handover(self) -> str:
+        """The line that has servers follow one another beside each other, for server and steward alike."""
+        return f"handover folder {self.folder}/handover\n" if self.beside else ""
 
 
 class Machines:
-    def __init__(self, folder: Path, group: TaskGroup, seed: int, count: int, zones: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        group: TaskGroup,
+        seed: int,
+        count: int,
+        zones: int,
+        beside: bool = True,
+        slot: str = "2s",
+    ) -> None:
+        self.slot = slot
         self.folder, self.group = folder, group
         self.fleet = Fleet(folder, group, seed, 3)
         self.machines = [
-            Machine(f"m{place}", f"z{place % zones}", folder / f"m{place}", seed * 100 + place)
+            Machine(f"m{place}", f"z{place % zones}", folder / f"m{place}", seed * 100 + place, beside)
             for place in range(count)
         ]
         self.releases = Releases(folder / "releases")
@@ -95,12 +116,12 @@
             await machine.make(self.group)
             lines = [f"members zone {machine.zone}", f"steward folder {machine.folder}",
                      f"steward plate {machine.folder}/plate.json", f"steward releases {self.folder}/releases",
-                     "steward stop 1500ms", "steward warm 3s"]  # fmt: skip
+                     "steward stop 1500ms", "steward warm 3s", machine.handover]  # fmt: skip
             env = {"THISTLELINE_CONF": str(machine.folder / "ledger.conf")}
             await self._program("steward", machine.name, ports, lines, env)
         for name in ("c0", "c1"):
-            lines = ["conductor lease 2s", "conductor slot 2s", "conductor enough 6", "conductor change 20s",
-                     "conductor patience 60"]  # fmt: skip
+            lines = ["conductor lease 2s", f"conductor slot {self.slot}", "conductor enough 6",
+                     "conductor change 20s", "conductor patience 60"]  # fmt: skip
             await self._program("conductor", name, ports, lines, {})
 
     async def _program(
@@ -185,24 +206,55 @@
                 found.append(one.name)
         return found
 
+    def serving(self, name: str) -> tuple[str, int]:
+        """Which release serves on a machine, and in which life, by what its steward wrote."""
+        found = ("", 0)
+        for event in self.fleet.processes[name].events():
+            if event["event"] == "serves" or (event["event"] == "started" and "life" in event):
+                if not event.get("beside"):
+                    found = event["release"], event["life"]
+            elif event["event"] == "exited" and event["life"] == found[1]:
+                found = ("", 0)
+        return found
+
+    async def command(self, *words: str) -> subprocess.CompletedProcess[bytes]:
+        """A command of the program, as a person gives it, told where the voters are."""
+        where = [word for name in self.fleet.names for word in ("--voter", self._named(name))]
+        told = [sys.executable, "-m", "thistleline", *words[:2], *where, *words[2:]]
+        return await anyio.run_process(told, check=False)
+
+    def _named(self, name: str) -> str:
+        host, port = self.fleet.address(name)
+        return f"{name}={host}:{port}"
+
+    async def until(self, what: str, true: Callable[[], bool], span: float = 60.0) -> None:
+        until = time.monotonic() + span
+        while not true():
+            if time.monotonic() > until:
+                raise Hung(
+                    f"{what}: {await self.status()} {[self.serving(one.name) for one in self.machines]}"
+                )
+            await anyio.sleep(0.05)
+
     def close(self) -> None:
         self.fleet.close()
-        for path in self.folder.glob("m*/lives/*.pid"):
-            _end(path)
+        for machine in self.machines:
+            for path in (machine.folder / "lives").glob("*.pid"):
+                _end(path)
 
 
 def _end(path: Path) -> None:
     """A server outlives its steward: it is known by its pid and by the lock that it holds."""
-    import fcntl
-    import os
-    import signal
-
-    lock = os.open(path.parent.parent / "server.lock", os.O_RDWR)
-    try:
-        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        lives = sorted(path.parent.glob("*.pid"), key=lambda one: int(one.stem))
-        if lives and lives[-1] == path:
-            os.kill(int(path.read_text()), signal.SIGKILL)
-    finally:
-        os.close(lock)
+    for place in (path.with_suffix(".lock"), path.parent.parent / "server.lock"):
+        if not place.exists():
+            continue
+        lock = os.open(place, os.O_RDWR)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            newest = max(int(one.stem) for one in path.parent.glob("*.pid"))
+            if place.stem == path.stem or int(path.stem) == newest:
+                with suppress(ProcessLookupError):
+                    os.kill(int(path.read_text()), signal.SIGKILL)
+        finally:
+            os.close(lock)
--- a/thistleline/members/gossip.py
+++ b/thistleline/members/gossip.py
@@ -40,6 +40,7 @@
 SUSPICION_LEAST, SUSPICION_MOST = 4, 6  # periods a logarithm; and so many times that without confirmation
 CONFIRMATIONS = 3  # independent ones that bring a suspicion down to its least span
 DEAD_PING_EVERY, COMPARE_EVERY = 4, 5  # periods
+SEED_EVERY = 10  # periods, in which one of the seeds that are not known to live is told of oneself
 FORGET_AFTER = 3600 * SECOND  # a dead member; till then it is tried now and then, as a split may heal
 HEAD = 32  # bytes of a message beside its words
 PROBES_BOUND = 256
@@ -161,6 +162,16 @@
             self._try_dead()
         if self.periods % COMPARE_EVERY == 0:
             self._compare()
+        if self.periods % SEED_EVERY == 0:
+            self._try_seed()
+
+    def _try_seed(self) -> None:
+        """Guards against islands that never hear of each other: who came up at the same time knows somebody
+        before all seeds are there, and nobody probes whom he never knew."""
+        living = {word.address for word in self.view.living()}
+        unknown = [seed for seed in self.seeds if seed not in living]
+        if unknown:
+            self._send(unknown[self.chance.randrange(len(unknown))], Join, self.id)
 
     def _next(self) -> Word | None:
         """Round robin in a random order: each member is probed once in so many periods as there are
--- a/thistleline/steward/keeping.py
+++ b/thistleline/steward/keeping.py
@@ -258,7 +258,8 @@
     def _spawned(self, pid: int) -> None:
         if self.phase == "succeeding":
             self.heir_alive, self.heir_since = True, self.now
-            self._log("heir started", pid=pid, life=self.state.heir_life)
+            heir = self.state.heir.release if self.state.heir is not None else ""
+            self._log("started", pid=pid, life=self.state.heir_life, release=heir, beside=True)
             self._go_on()
             return
         self.alive, self.started, self.phase, self.why = True, self.now, "running", ""
