Changes of settings checked, compared and listed; a ledger with no way back refused; crashes in the record

Need: settings that no server could take were found out by the first one; a release whose ledger the one before can't read had no way back; a successor counted crashes anew, so a release that does not start ran its whole time out; the lab knew three harmful releases.

--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -23,7 +23,8 @@
 from thistleline.lab.roll import HARMS, Harm, roll
 from thistleline.lab.stewardworld import BesideWorld, StewardWorld, following, following_beside, wander
 from thistleline.steward.keeping import SECOND, Keeping, State, Version, Want
-from thistleline.steward.releases import Releases, Unfit, digest_of
+from thistleline.steward.releases import Releases, Unfit, digest_of, forms_of
+from thistleline.steward.settings import unfit_settings
 from thistleline.store.latest import Latest
 
 OLD, NEW = Version("1", "a"), Version("2", "b")
@@ -126,6 +127,8 @@
     ({"version": Version("2", "b", 5, "x"), "base": Version("1", "a", 5, "y")}, "other content"),
     ({"stages": ("one", "half")}, "'all' is the last"),
     ({"down": 0}, "no server down"),
+    ({"version": Version("2", "b", 0, "", (2, 3), 3), "base": Version("1", "a", 0, "", (1, 2), 2)},
+     "2 writes a ledger of form 3, 1 reads 1, 2: there is no way back"),
     ({"version": None}, "names no version"),
 ])  # fmt: skip
 def test_an_order_that_makes_no_sense_is_refused_with_the_reason(changes: dict[str, Any], why: str) -> None:
@@ -252,6 +255,39 @@
     assert told.most_down <= 3 + 2  # and those that died
 
 
+def figured(came: int, done: int, worth: tuple[int, int], crashes: int = 0) -> dict[str, Any]:
+    return {"figures": (came, done, 0, 0, 0, 0, crashes, 1), "worth": worth}
+
+
+@pytest.mark.parametrize(("says", "served"), [(True, 0.5), (False, 0.9)])
+def test_what_work_was_worth_is_compared_only_where_all_say_it(says: bool, served: float) -> None:
+    stage = Stage(9)
+    told: list[Slot] = []
+    for step in range(1, 12):
+        for id in stage.members:
+            worth = (1000 * step, 500 * step) if says or id != "s08" else (0, 0)
+            stage.show(id, **figured(100 * step, 90 * step, worth))
+        stage.step()
+        if stage.conducting.judge is not None:
+            setattr(stage.conducting.judge, "take", lambda slots, _: told.extend(slots))  # noqa: B010
+    assert {round(one.served, 2) for one in told} == {served}
+
+
+def test_a_successor_counts_crashes_from_where_the_stage_began() -> None:
+    stage = Stage(9)
+    for id in stage.members:
+        stage.show(id, **figured(0, 0, (0, 0), 1))
+    stage.step()
+    assert stage.roll is not None
+    new = stage.roll.targets[0]
+    stage.show(new, taking=False, release="", figures=(0, 0, 0, 0, 0, 0, 3, 2))
+    stage.conducting = Conducting(stage.now, lambda: 0, stage.roll, Spans())
+    for _ in range(12):
+        stage.step()
+    assert stage.roll.phase == "backing"
+    assert "2 crashes" in stage.roll.why or "crashes of new servers" in stage.roll.why
+
+
 # ---- the steward
 
 
@@ -406,6 +442,34 @@
             releases.verify(name, digest)
 
 
+def test_what_a_release_says_of_the_ledger_is_a_part_of_it(tmp_path: Path) -> None:
+    assert forms_of(tmp_path) == ((), 0)
+    (tmp_path / "forms").write_text("1 2 writes 2\n")
+    assert forms_of(tmp_path) == ((1, 2), 2)
+    (tmp_path / "forms").write_text("two\n")
+    with pytest.raises(Unfit, match="does not say"):
+        forms_of(tmp_path)
+
+
+@pytest.mark.parametrize(("changes", "limits", "why"), [
+    ({"classes": 3}, None, "TypeError"),
+    ({"classes": []}, None, "no stages"),
+    ({"classes": 2 * SETTINGS["classes"]}, None, "two stages 'booking'"),
+    ({"familyInfo": {**SETTINGS["familyInfo"], "cpus": 0}}, None, "without cores"),
+    ({"familyInfo": {**SETTINGS["familyInfo"], "dependsOn": "shared"}}, None, "lies below"),
+    ({"familyInfo": {**SETTINGS["familyInfo"], "upstreams": 600}}, {"sockets": 512, "memory_mb": 256},
+     "more than 512 descriptors"),
+    ({"familyInfo": {**SETTINGS["familyInfo"], "upstreams": 400}}, {"sockets": 512, "memory_mb": 32},
+     "more than a quarter of 32 MB"),
+    ({}, {"sockets": 512, "memory_mb": 256}, ""),
+])  # fmt: skip
+def test_settings_that_no_server_could_take_are_turned_down_with_the_reason(
+    changes: dict[str, Any], limits: dict[str, Any] | None, why: str
+) -> None:
+    told = unfit_settings(json.dumps({**SETTINGS, **changes}).encode(), limits)
+    assert (why in told) if why else told == ""
+
+
 def test_the_latest_value_outlives_a_torn_write(tmp_path: Path) -> None:
     kept = Latest(tmp_path, "x")
     for value in (b"one", b"two", b"three"):
@@ -506,6 +570,13 @@
             assert hashlib.sha256(good.read_bytes()).hexdigest().encode() in told.stdout
             assert (await fleet.command("settings", "add", "1", str(good))).returncode == 1
             assert json.loads((await fleet.command("settings", "show", "1")).stdout) == SETTINGS
+            other = tmp_path / "other.json"
+            other.write_text(json.dumps({**SETTINGS, "overShareWorth": 0.5}))
+            assert (await fleet.command("settings", "add", "2", str(other))).returncode == 0
+            told = await fleet.command("settings", "diff", "1", "2")
+            assert told.stdout == b"-overShareWorth = 1.0\n+overShareWorth = 0.5\n"
+            listed = (await fleet.command("settings", "history")).stdout.splitlines()
+            assert [line.split()[0] for line in listed] == [b"1", b"2"]
         finally:
             fleet.close()
             group.cancel_scope.cancel()
--- a/thistleline/cli/roll.py
+++ b/thistleline/cli/roll.py
@@ -1,7 +1,9 @@
 """`thistleline conductor` and `thistleline roll`: a change through the fleet, and what is asked of it."""
 
 import datetime
+import difflib
 import signal
+import time
 from pathlib import Path
 from typing import Any
 
@@ -13,9 +15,12 @@
 from thistleline.conductor.roll import KEY, ORDER_KEY, STAGES, Order, Roll, wrong
 from thistleline.lease.terms import Get, Got, Put
 from thistleline.steward.keeping import Version
-from thistleline.steward.releases import Unfit, digest_of
+from thistleline.steward.releases import Unfit, digest_of, forms_of
 from thistleline.steward.service import digest_of_settings, settings_key
+from thistleline.steward.settings import lines_of, unfit_settings
 
+FOLLOW = 0.5  # s between two looks
+GAP = 16  # numbers without settings, after which there are no more
 _roll = msgspec.msgpack.Decoder(Roll).decode
 _order = msgspec.msgpack.Decoder(Order).decode
 encode = msgspec.msgpack.Encoder().encode
@@ -68,10 +73,11 @@
 
 def version_of(voters: dict[str, Any], release: str | None, settings: int, at: Version) -> Version:
     """`release`: a folder; its name and content. What is not told stays as it is."""
-    name, digest = at.release, at.digest
+    name, digest, reads, writes = at.release, at.digest, at.reads, at.writes
     if release is not None:
         try:
             name, digest = Path(release).name, digest_of(Path(release))
+            reads, writes = forms_of(Path(release))
         except (OSError, Unfit) as error:
             raise Unusable(str(error)) from error
     number, settings_digest = at.settings, at.settings_digest
@@ -80,7 +86,7 @@
         if not known.version:
             raise Unusable(f"there are no settings {settings}; 'settings add' them first")
         number, settings_digest = settings, digest_of_settings(known.value)
-    return Version(name, digest, number, settings_digest)
+    return Version(name, digest, number, settings_digest, reads, writes)
 
 
 @roll.command()
@@ -135,13 +141,23 @@
 @roll.command()
 @where
 @click.option("--json", "as_json", is_flag=True)
-def status(conf: str | None, voters: tuple[str, ...], as_json: bool) -> None:
+@click.option("--follow", is_flag=True, help="A line at each step, until the change is over.")
+def status(conf: str | None, voters: tuple[str, ...], as_json: bool, follow: bool) -> None:
     """How far the change is, and why; exit code 1 if there never was one."""
-    known = _got(voters_of(conf, voters), KEY)
-    if not known.version:
-        click.echo("no change yet")
-        raise SystemExit(1)
-    tell(_roll(known.value), as_json, _words)
+    where_voters = voters_of(conf, voters)
+    last: Roll | None = None
+    while True:
+        known = _got(where_voters, KEY)
+        if not known.version:
+            click.echo("no change yet")
+            raise SystemExit(1)
+        now = _roll(known.value)
+        if now != last:
+            tell(now, as_json, _words)
+        last = now
+        if not follow or now.over:
+            return
+        time.sleep(FOLLOW)
 
 
 def _words(roll: Roll) -> str:
@@ -173,24 +189,89 @@
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def add_settings(conf: str | None, voters: tuple[str, ...], number: int, file: Path) -> None:
     """Keep FILE as version NUMBER, once it is checked."""
-    from thistleline.wire.bench import Malformed, read_bench
-
-    content = file.read_bytes()
-    try:
-        told = msgspec.json.decode(content)
-        read_bench(told)
-    except (msgspec.MsgspecError, Malformed, TypeError, LookupError, ValueError, ArithmeticError) as error:
-        raise Unusable(f"{file}: {type(error).__name__}: {error}") from error
+    content = _checked(file, None)
     ask(voters_of(conf, voters), Put(settings_key(number), content, 0))
     click.echo(f"settings {number}: {digest_of_settings(content)}")
 
 
+def _checked(file: Path, plate: Path | None) -> bytes:
+    """Its content. Raises Unusable with the reason where no server could take it."""
+    content = file.read_bytes()
+    limits = None
+    if plate is not None:
+        try:
+            limits = msgspec.json.decode(plate.read_bytes())["limits"]
+        except (msgspec.MsgspecError, TypeError, LookupError) as error:
+            raise Unusable(f"{plate}: it has no 'limits': {error}") from error
+    fault = unfit_settings(content, limits)
+    if fault:
+        raise Unusable(f"{file}: {fault}")
+    return content
+
+
+@settings_group.command("check")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--plate", type=click.Path(exists=True, dir_okay=False, path_type=Path),
+              help="A server's configuration: whether they fit within its limits too.")  # fmt: skip
+def check_settings(file: Path, plate: Path | None) -> None:
+    """Whether a server could take FILE; exit code 2 and the reason if not."""
+    content = _checked(file, plate)
+    click.echo(f"{file}: can be taken, {digest_of_settings(content)}")
+
+
+def _settings(voters: dict[str, Any], number: int) -> bytes:
+    known = _got(voters, settings_key(number))
+    if not known.version:
+        raise click.ClickException(f"there are no settings {number}")
+    return known.value
+
+
+@settings_group.command("diff")
+@where
+@click.argument("one", type=int)
+@click.argument("other", type=int)
+def diff_settings(conf: str | None, voters: tuple[str, ...], one: int, other: int) -> None:
+    """What differs between two versions, a value a line; exit code 1 if anything does."""
+    known = voters_of(conf, voters)
+    before, after = (lines_of(_settings(known, number)) for number in (one, other))
+    told = list(difflib.unified_diff(before, after, str(one), str(other), lineterm="", n=0))
+    for line in told:
+        if not line.startswith(("@@", "---", "+++")):
+            click.echo(line)
+    if told:
+        raise SystemExit(1)
+
+
+@settings_group.command("history")
+@where
+@click.option("--from", "first", type=int, default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def settings_history(conf: str | None, voters: tuple[str, ...], first: int, as_json: bool) -> None:
+    """The versions that are kept, each with its digest; and which changes brought or bring them."""
+    known = voters_of(conf, voters)
+    told = _got(known, KEY)
+    now = _roll(told.value) if told.version else None
+    missing = 0
+    number = first
+    while missing < GAP:
+        found = _got(known, settings_key(number))
+        if found.version:
+            missing = 0
+            role = ""
+            if now is not None and number == now.version.settings:
+                role = f"change {now.number}: {now.phase}"
+            elif now is not None and number == now.base.settings:
+                role = f"what change {now.number} began from"
+            facts = {"number": number, "digest": digest_of_settings(found.value), "role": role}
+            tell(facts, as_json, lambda one: f"{one['number']}  {one['digest'][:16]}  {one['role']}".rstrip())
+        else:
+            missing += 1
+        number += 1
+
+
 @settings_group.command("show")
 @where
 @click.argument("number", type=int)
 def show_settings(conf: str | None, voters: tuple[str, ...], number: int) -> None:
     """Print version NUMBER."""
-    known = _got(voters_of(conf, voters), settings_key(number))
-    if not known.version:
-        raise click.ClickException(f"there are no settings {number}")
-    click.echo(known.value.decode())
+    click.echo(_settings(voters_of(conf, voters), number).decode())
--- a/thistleline/cli/steward.py
+++ b/thistleline/cli/steward.py
@@ -43,6 +43,15 @@
         raise click.ClickException(str(error)) from error
 
 
+@release.command()
+def forms() -> None:
+    """What the file 'forms' of a release of this program says: the forms of the ledger that it reads and
+    writes, so that a change with no way back is refused before the first server."""
+    from thistleline.ledger import form
+
+    click.echo(f"{' '.join(map(str, form.READS))} writes {form.FORM}")
+
+
 @release.command("list")
 @click.argument("folder", type=click.Path(path_type=Path))
 def list_all(folder: Path) -> None:
--- a/thistleline/conductor/conducting.py
+++ b/thistleline/conductor/conducting.py
@@ -48,6 +48,7 @@
         self.make_judge = judge
         self.now, self.wall, self.spans = now, wall, spans
         self.roll = roll
+        self.crashes = dict(roll.crashes) if roll is not None else {}  # as the stage began; 0 where not told
         self.recording: Roll | None = None
         self.members: dict[str, Seen] = {}
         self.seen_once = False
@@ -56,7 +57,6 @@
         self.judge: Judge | None = None
         self.next_slot = now + spans.slot
         self.before: dict[str, tuple[int, ...]] = {}  # figures at the last slot
-        self.crashes: dict[str, int] = {}  # figures of crashes as the stage began
         self.restarted: set[str] = set()  # controls of this stage, once each
         self.cold_old: dict[str, tuple[int, float]] = {}  # what judges of this change have learned of it
         self.no_room: tuple[str, ...] = ()  # who would be changed next, if others were not down
@@ -101,6 +101,7 @@
         assert self.recording is not None
         before, self.roll, self.recording = self.roll, self.recording, None
         self.no_room_since = self.now
+        self.crashes = dict(self.roll.crashes)
         if before is None or (before.number, before.stage) != (self.roll.number, self.roll.stage):
             self._begin_stage()
         if before is None or before.number != self.roll.number:
@@ -110,7 +111,6 @@
         self.judge = None
         self.restarted = set()
         self.changing = {id: told for id, told in self.changing.items() if not self._is(id, told[0])}
-        self.crashes = {id: one.figures[6] for id, one in self.members.items() if len(one.figures) > 6}
 
     def _is(self, id: str, version: Version) -> bool:
         return id in self.members and self.members[id].runs(version)
@@ -190,7 +190,9 @@
         if len(chosen) > len(roll.targets) and (not roll.targets or self.judge is None):
             stage = roll.stages[roll.stage]
             beside = controls(stage, chosen, list(self.members.values()))
-            self._record("stage", stage, targets=chosen, controls=beside)
+            # In the record, so that a successor counts from the same.
+            counts = tuple((one.id, one.figures[6]) for one in self.members.values() if any(one.figures[6:7]))
+            self._record("stage", stage, targets=chosen, controls=beside, crashes=counts)
             return
         if self.judge is None:
             zones = {one.zone for one in self.members.values()}
@@ -319,16 +321,14 @@
             told.append(
                 Slot(one.id, one.zone, one.runs(roll.version), not one.warm, tasks, min(1.0, served),
                      min(1.0, rejected / came), min(1.0, abandoned / came), min(1.0, slow / max(1, finished)),
-                     here[5] / MEMORY_SCALE, 0 if tried else here[6] - self.crashes.get(one.id, here[6]), 0)
+                     here[5] / MEMORY_SCALE, 0 if tried else here[6] - self.crashes.get(one.id, 0), 0)
             )  # fmt: skip
         if judge is not None and roll is not None and roll.phase == "going":
             # A crashed one that comes and goes is in no slot; its crashes count all the same.
             for one in self.members.values():
-                crashed = (
-                    one.figures[6] - self.crashes.get(one.id, one.figures[6]) if len(one.figures) > 6 else 0
-                )
+                crashed = one.figures[6] - self.crashes.get(one.id, 0) if len(one.figures) > 6 else 0
                 # One whose heirs die serves on with the old version; those deaths are the new one's.
-                if one.id in roll.targets and not one.runs(roll.version) and crashed:
+                if one.id in roll.targets and not one.runs(roll.version) and crashed > 0:
                     told.append(Slot(one.id, one.zone, True, True, 0, 0.0, 0.0, 0.0, 0.0, 0.0, crashed, 0))
             judge.take(told, [id for id in roll.targets if self._is(id, roll.version)])
 
--- a/thistleline/conductor/roll.py
+++ b/thistleline/conductor/roll.py
@@ -30,6 +30,7 @@
     stage: int = 0
     controls: tuple[str, ...] = ()  # old ones that are started anew in this stage, to see how those do cold
     targets: tuple[str, ...] = ()  # that run the new version by this stage; empty: still to be chosen
+    crashes: tuple[tuple[str, int], ...] = ()  # of servers that had any, as the stage began
     why: str = ""
     order: int = 0  # number of the last order that was followed
     past: tuple[Past, ...] = ()
@@ -89,6 +90,11 @@
     unknown = [stage for stage in order.stages if stage not in STAGES]
     if unknown or not order.stages or order.stages[-1] != "all":
         return f"stages are of {', '.join(STAGES)}, and 'all' is the last"
+    for one, other in ((order.version, order.base), (order.base, order.version)):
+        if one.writes and other.reads and one.writes not in other.reads:
+            known = ", ".join(map(str, other.reads))
+            what = f"{one.release} writes a ledger of form {one.writes}, {other.release} reads {known}"
+            return f"{what}: there is no way back"
     if order.down < 1 or order.down_zone < 1:
         return "nothing can change with no server down"
     return ""
--- a/thistleline/lab/machines.py
+++ b/thistleline/lab/machines.py
@@ -37,12 +37,20 @@
 RELEASES: dict[str, dict[str, Any] | None] = {
     "base": {},
     "good": {},
-    "dies": {"kill": ["in:task", 60]},
+    "better": {},
     "no-start": None,
+    "dies": {"kill": ["in:task", 60]},
+    "dies-later": {"die_after": 12},
     "stalls": {"stall": 60},
-    "forgets-disk": {"disk": "read-only", "at": 2},
+    "stalls-in-z1": {"stall": 60, "only": ["m1", "m4", "m7"]},
+    "stalls-cold": {"stall": 80, "cold": 6},
+    "stalls-loaded": {"stall": 150, "over": 2},
+    "leaks": {"leak": 100},
+    "mute": {"figures": 1e6},
+    "loses": {"loses": 8},
 }
-HARMFUL = ("dies", "no-start", "stalls")
+HARMLESS = ("base", "good", "better")
+HARMFUL = tuple(name for name in RELEASES if name not in HARMLESS)
 
 
 class Machine:
@@ -100,7 +108,7 @@
         for name, fault in RELEASES.items():
             source = self.folder / "sources" / name
             source.mkdir(parents=True)
-            told = json.dumps({**fault, "figures": FIGURES}) if fault is not None else ""
+            told = json.dumps({"figures": FIGURES, **fault}) if fault is not None else ""
             lines = ["#!/bin/sh", f"# {name}", f"export PYTHONPATH='{ROOT}' LAB_FAULT='{told}'"]
             lines.append(
                 f"exec {sys.executable} -m thistleline.lab.server" if fault is not None else "exit 3"
@@ -176,19 +184,29 @@
         return Version(name, self.digests[name]) if name else Version()
 
     async def order(self, release: str, base: str, stages: tuple[str, ...]) -> None:
-        self.orders += 1
-        order = Order(self.orders, "start", release, self.version(release), self.version(base), stages, 3, 1)
+        order = Order(
+            self.orders + 1, "start", release, self.version(release), self.version(base), stages, 3, 1
+        )
+        await self._order(order)
+
+    async def back(self) -> None:
+        await self._order(Order(self.orders + 1, "back", "it can't be told"))
+
+    async def _order(self, order: Order) -> None:
+        self.orders = order.number
         known = await self.fleet.ask(Get(ORDER_KEY))
         assert isinstance(known, Got)
         await self.fleet.ask(Put(ORDER_KEY, encode(order), known.version))
 
-    async def through(self, span: float, number: int, do: Callable[[], Any] | None = None) -> Roll:
-        """Till the change of that number is over; `do` once a stage is under way."""
+    async def through(
+        self, span: float, number: int, do: Callable[[], Any] | None = None, asks: bool = True
+    ) -> Roll:
+        """Till the change of that number is over, or a person is asked; `do` once a stage is under way."""
         until, done = time.monotonic() + span, do is None
         while time.monotonic() < until:
             roll = await self.status()
             if roll is not None and roll.number == number:
-                if roll.over or roll.phase == "asking":
+                if roll.over or (asks and roll.phase == "asking"):
                     return roll
                 if not done and roll.targets:
                     done = True
--- a/thistleline/lab/roll.py
+++ b/thistleline/lab/roll.py
@@ -20,7 +20,7 @@
 from thistleline.conductor.judge import Finding, Judge, Slot, Verdict
 from thistleline.conductor.roll import STAGES, Order, Roll, Seen
 from thistleline.lab.harness import Fleet, folder_of
-from thistleline.lab.machines import HARMFUL, Machines
+from thistleline.lab.machines import HARMFUL, HARMLESS, Machines
 from thistleline.steward.keeping import Version
 
 OLD, NEW = Version("1", "d1", 1, "s1"), Version("2", "d2", 1, "s1")
@@ -329,7 +329,11 @@
                 _no_majority,
                 _nothing,
             ]
-            for number, release in enumerate(plan, 2):
+            number = 1
+            for release in plan:
+                if release == base:
+                    continue  # one before it was taken back
+                number += 1
                 fault = faults[chance.randrange(len(faults))]
                 await machines.order(release, base, ("one", "one a zone", "all"))
                 roll = await machines.through(180, number, partial(fault, fleet, chance))
@@ -337,7 +341,8 @@
                              "why": roll.why, "reached": len(machines.reached(release))})  # fmt: skip
                 tell(str(told[-1]))
                 if roll.phase == "asking":
-                    break
+                    await machines.back()
+                    await machines.through(120, number, asks=False)
                 base = release if roll.phase == "done" else base
                 fleet.heal()
             await anyio.sleep(8)  # what was asked last is answered
@@ -391,31 +396,63 @@
         fleet.processes[name].go_on()
 
 
-def real(seed: int, plan: tuple[str, ...], tell: Callable[[str], None]) -> dict[str, Any]:
+def real(seed: int, plan: tuple[str, ...], tell: Callable[[str], None] = print) -> dict[str, Any]:
     with folder_of("roll", f"thistleline lab roll --seed {seed}") as folder:
         return anyio.run(_real, folder, seed, plan, tell)
 
 
+def plans(quick: bool, seed: int) -> list[tuple[str, ...]]:
+    """Changes of each fleet, one after another. In the long form 40 over four fleets, a third of them
+    harmful, each of the ten ways at least once, the harmless ones between them."""
+    if quick:
+        return [("no-start",)]
+    chance = Random(seed)
+    harmful = [*HARMFUL, *chance.sample(HARMFUL, 4)]
+    chance.shuffle(harmful)
+    made = []
+    for fleet in range(4):
+        ways = harmful[fleet::4]
+        plan: list[str] = []
+        base = "base"
+        for place in range(10):
+            if ways and (place % 3 == 1 or (place % 3 == 2 and len(ways) > (10 - place) // 3)):
+                plan.append(ways.pop())
+            else:
+                base = chance.choice([one for one in HARMLESS if one != base])
+                plan.append(base)
+        made.append(tuple(plan))
+    return made
+
+
+def real_fleets(quick: bool, seed: int, tell: Callable[[str], None]) -> dict[str, Any]:
+    """What came of the changes of all fleets, which run beside each other."""
+    changes: list[dict[str, Any]] = []
+    callers: Counter[str] = Counter()
+    with ProcessPoolExecutor(4) as pool:
+        under_way = [pool.submit(real, seed + place, plan) for place, plan in enumerate(plans(quick, seed))]
+        for one in under_way:
+            told = one.result()
+            changes += told["changes"]
+            callers.update(told["callers"])
+            tell(f"{len(changes)} changes")
+    return {"changes": changes, "callers": dict(callers)}
+
+
 def run(quick: bool, seed: int, tell: Callable[[str], None]) -> dict[str, Any]:
     """All figures, bars and whether they held."""
-    plan = (
-        ("no-start",)
-        if quick
-        else ("good", "dies", "stalls", "base", "no-start", "good", "dies", "base", "stalls")
-    )
-    told = real(seed, plan, tell)
+    told = real_fleets(quick, seed, tell)
     found: dict[str, Any] = {"real processes": told}
     found |= figures(quick, seed, tell)
     changes, callers = told["changes"], told["callers"]
     bars = {
-        "harmful ones taken back": all(
-            one["phase"] == "back" for one in changes if one["release"] in HARMFUL
+        "harmful ones taken back, or asked about": all(
+            one["phase"] in ("back", "asking") for one in changes if one["release"] in HARMFUL
         ),
         "harmful ones reached a third at the most": all(
             one["reached"] <= 3 for one in changes if one["release"] in HARMFUL
         ),
         "harmless ones not taken back": all(
-            one["phase"] == "done" for one in changes if one["release"] not in HARMFUL
+            one["phase"] in ("done", "asking") for one in changes if one["release"] not in HARMFUL
         ),
         "no booking twice": callers["run_twice"] == 0,
         "none rejected after it ran": callers["rejected_after_run"] == 0,
--- a/thistleline/lab/server.py
+++ b/thistleline/lab/server.py
@@ -7,6 +7,11 @@
     {"sync": false}             the sync is left out
     {"stall": ms}               so long nothing else is done at each task
     {"figures": s}              figures are told so often
+    {"only": [name]}            all this on servers of these names alone
+    {"cold": s}                 stalls in the first seconds alone; {"over": n}: with more than n in hand alone
+    {"die_after": s}            ends at once after so long
+    {"leak": kb}                keeps so much of each task for ever
+    {"loses": n}                each n-th run that finished is said to have failed
     {"keeps": true}             one that has handed over goes on starting effects
 
 What was not synced is lost with the program, as with the machine: the disk here writes at the sync.
@@ -19,7 +24,7 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import anyio
 
@@ -89,10 +94,25 @@
             if kill[1] <= 0:
                 os.kill(os.getpid(), signal.SIGKILL)
 
+    born = time.monotonic()
+    leaked: ClassVar[list[bytes]] = []
+    finished = 0
+
     def take(self, kind: str, *told: Any) -> None:
         self._pass(f"in:{kind}")
-        if kind == "task" and self.fault.get("stall"):
-            time.sleep(self.fault["stall"] / 1000)
+        fault, age = self.fault, time.monotonic() - self.born
+        if age > fault.get("die_after", age):
+            os.kill(os.getpid(), signal.SIGKILL)
+        if kind == "task":
+            in_hand = len(self.reducer.tries)
+            if age <= fault.get("cold", age) and in_hand >= fault.get("over", 0):
+                time.sleep(fault.get("stall", 0) / 1000)
+            if fault.get("leak"):
+                self.leaked.append(os.urandom(1024) * fault["leak"])
+        if kind == "run_over" and fault.get("loses"):
+            Faults.finished += 1
+            if self.finished % fault["loses"] == 0:
+                told = (*told[:2], "failed", *told[3:])
         super().take(kind, *told)
 
     def _carry_out(self, effect: tuple[Any, ...]) -> None:
@@ -124,6 +144,9 @@
 
 def main() -> int:
     fault = json.loads(os.environ.get("LAB_FAULT", "{}"))
+    plate = read_plate(os.environ)
+    if plate.name not in fault.get("only", [plate.name]):
+        fault = {"figures": fault.get("figures")}
     LabDisk.fault = Faults.fault = fault
     setattr(keeper, "Disk", LabDisk)  # noqa: B010
     if fault.get("sync") is False:
@@ -141,7 +164,7 @@
     conf = read_conf(named) if named else None
     serves = LabAttended if conf is not None and conf.handover is not None else Faults
     try:
-        anyio.run(serves(read_plate(os.environ), conf).run)
+        anyio.run(serves(plate, conf).run)
     except Unusable as error:
         complain(str(error))
         return 2
--- a/thistleline/steward/keeping.py
+++ b/thistleline/steward/keeping.py
@@ -52,6 +52,8 @@
     digest: str = ""
     settings: int = 0
     settings_digest: str = ""
+    reads: tuple[int, ...] = ()  # forms of the ledger that the release reads, and the one that it writes,
+    writes: int = 0  # where it says so
 
 
 class Want(msgspec.Struct, frozen=True):
--- a/thistleline/steward/releases.py
+++ b/thistleline/steward/releases.py
@@ -8,8 +8,8 @@
 import shutil
 from pathlib import Path
 
-NAME_MARK = "digest"
 RUN = "run"
+FORMS = "forms"  # a file that says which forms of the ledger it reads, and which it writes: "1 2 writes 2"
 FILES_BOUND = 100_000
 
 
@@ -34,6 +34,19 @@
     return whole.hexdigest()
 
 
+def forms_of(folder: Path) -> tuple[tuple[int, ...], int]:
+    """What a release says of the ledger: the forms that it reads, and the one that it writes; nothing and 0
+    where it does not say. Raises Unfit, OSError."""
+    place = folder / FORMS
+    if not place.exists():
+        return (), 0
+    reads, _, writes = place.read_text().partition("writes")
+    try:
+        return tuple(map(int, reads.split())), int(writes)
+    except ValueError:
+        raise Unfit(f"{place} does not say '1 2 writes 2'") from None
+
+
 class Releases:
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -68,7 +81,7 @@
         return sorted(path.name for path in self.folder.iterdir() if not path.name.startswith("."))
 
     def verify(self, name: str, digest: str) -> None:
-        """Raises Unfit where it is not there, or not with this content."""
+        """Raises Unfit where it is not there, or not with this content, which its forms are a part of."""
         place = self.path(name)
         if not place.is_dir():
             raise Unfit(f"{name} is not here")
--- a/thistleline/steward/service.py
+++ b/thistleline/steward/service.py
@@ -22,6 +22,7 @@
 from thistleline.members.service import MemberService
 from thistleline.steward.keeping import Keeping, State, Version, Want
 from thistleline.steward.releases import RUN, Releases, Unfit
+from thistleline.steward.settings import unfit_settings
 from thistleline.store.clock import boot_now, wall_ms
 from thistleline.store.latest import Latest
 
@@ -148,7 +149,7 @@
             await anyio.to_thread.run_sync(self.releases.verify, version.release, version.digest)
             if version.settings:
                 await self._settings(version)
-        except (Unfit, OSError) as error:
+        except (Unfit, OSError, orjson.JSONDecodeError) as error:
             why = str(error)
         self.take("verified", why)
 
@@ -163,8 +164,13 @@
             fresh = place.with_suffix(".new")
             fresh.write_bytes(answer.value)
             fresh.rename(place)
-        if digest_of_settings(place.read_bytes()) != version.settings_digest:
+        content = place.read_bytes()
+        if digest_of_settings(content) != version.settings_digest:
             raise Unfit(f"settings {version.settings} have another content here")
+        limits = orjson.loads(self.conf.plate.read_bytes()).get("limits")
+        fault = unfit_settings(content, limits)
+        if fault:
+            raise Unfit(f"settings {version.settings} can't be taken here: {fault}")
 
     # ---- the server's process
 
--- /dev/null
+++ b/thistleline/steward/settings.py
@@ -0,0 +1,68 @@
+"""Whether a server could take a version of the settings, and what differs between two. No I/O, no clock."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from thistleline.wire.bench import Malformed, read_bench, read_gauges, read_granularity
+
+RESERVE, CONNECTION_COST = 24, 32 * 1024  # as life/service.py has them: descriptors, bytes
+SIZE_BOUND = 512 * 1024  # bytes of a version: it has to go through the council in one record
+
+
+def unfit_settings(content: bytes, limits: dict[str, Any] | None = None) -> str:
+    """Why no server takes them; nothing where one does. `limits`: of a server's configuration, `sockets` and
+    `memory_mb`; without them only what holds for all servers is looked at."""
+    if len(content) > SIZE_BOUND:
+        return f"{len(content)} bytes, {SIZE_BOUND} at most"
+    try:
+        told = msgspec.json.decode(content)
+        bench = read_bench(told)
+        read_gauges(told)
+        read_granularity(told)
+    except KeyError as error:
+        return f"{error.args[0]!r} is missing or unknown"
+    except (msgspec.MsgspecError, Malformed, TypeError, LookupError, ValueError, ArithmeticError) as error:
+        return f"{type(error).__name__}: {' '.join(str(error).split())}"
+    if not bench.stages or not bench.owners:
+        return "there are no stages" if not bench.stages else "there are no owners"
+    if bench.below != "none":
+        return "they have calls to what lies below, which the agent's protocol has not"
+    if bench.cores < 1 or bench.memory_kb <= 0:
+        return "a server without cores or memory"
+    twice = [one.name for one in bench.stages if sum(other.name == one.name for other in bench.stages) > 1]
+    if twice:
+        return f"there are two stages {twice[0]!r}"
+    if limits is None:
+        return ""
+    try:
+        sockets, memory = int(limits["sockets"]), float(limits["memory_mb"]) * 1024 * 1024
+    except (KeyError, TypeError, ValueError):
+        return "the limits have no 'sockets' or no 'memory_mb'"
+    if bench.callers + RESERVE > sockets:
+        return f"{bench.callers} callers and {RESERVE} of its own need more than {sockets} descriptors"
+    if bench.callers * CONNECTION_COST > memory / 4:
+        taken = bench.callers * CONNECTION_COST >> 20
+        return f"{bench.callers} callers take {taken} MB, more than a quarter of {int(memory) >> 20} MB"
+    return ""
+
+
+def lines_of(content: bytes) -> list[str]:
+    """A value a line, each with the way to it, in the order of the ways."""
+    return sorted(f"{way} = {msgspec.json.encode(value).decode()}" for way, value in _leaves(content))
+
+
+def _leaves(content: bytes) -> Iterator[tuple[str, Any]]:
+    def walk(way: str, value: Any) -> Iterator[tuple[str, Any]]:
+        if isinstance(value, dict) and value:
+            for name, inner in value.items():
+                yield from walk(f"{way}.{name}" if way else str(name), inner)
+        elif isinstance(value, list) and value:
+            for place, inner in enumerate(value):
+                named = inner.get("name", place) if isinstance(inner, dict) else place
+                yield from walk(f"{way}[{named}]", inner)
+        else:
+            yield way, value
+
+    yield from walk("", msgspec.json.decode(content))
