Handovers in virtual time: the reducers that run, deaths at any moment, four protections taken out

Need: real processes show a few schedules of a handover; the moment itself has many.

Change: lab/handoverworld.py, the two sides' reducer with a disk, an agent of one link, lines in order and repeats on other connections.

An elder that goes on starting, one that refuses instead of handing on, a moment that waits for no write, an heir that reads the ledger too early: each is found.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,9 +15,15 @@
 
 from thistleline.attended.line import Line, reach
 from thistleline.attended.messages import Hello, Refused
+from thistleline.attended.succession import Succeeding
+from thistleline.keeping.worth import Worth
 from thistleline.lab.farm import FarmStandIn
 from thistleline.lab.handover import TOLD, Lives, Load, changes
+from thistleline.lab.handoverworld import play
+from thistleline.lab.mutants import without
 from thistleline.ledger import form
+from thistleline.memory.reducer import Reducer
+from thistleline.memory.tables import Run, Try
 
 BROKEN = ("run_twice", "rejected_after_run", "acknowledged_and_lost", "another_result")
 
@@ -31,6 +37,45 @@
     return None
 
 
+def test_in_virtual_time_nothing_runs_twice_whoever_dies_when() -> None:
+    worlds = [play(seed) for seed in range(12)]
+    assert [world.wrong for world in worlds] == 12 * [""]
+    assert sum(world.figures["handed over"] for world in worlds) > 20
+
+
+def _goes_on(self: Succeeding, task: str, run: Run, had: Any = Succeeding._launch) -> None:
+    if self.stands == "handed":
+        Reducer._launch(self, task, run)
+    else:
+        had(self, task, run)
+
+
+def _refuses(self: Succeeding, task: str, held: Try) -> None:
+    self.reject(task, False, 0)
+
+
+def _does_not_wait(self: Succeeding) -> None:
+    self._hand(tuple(run.id for run in self.runs.values() if run.sent))
+
+
+def _takes_its_own(self: Succeeding, *told: Any) -> None:
+    Worth._task(self, *told)
+
+
+@pytest.mark.parametrize(("patches", "wanted"), [
+    ((("_launch", _goes_on), ("_task", _takes_its_own)), "runs twice"),
+    ((("_send_away", _refuses),), "rejected after it ran"),
+    ((("_try_to_hand", _does_not_wait),), "no input that can be taken"),
+])  # fmt: skip
+def test_a_protection_of_the_handover_left_out_is_found(patches: Any, wanted: str) -> None:
+    with without(tuple((Succeeding, name, put) for name, put in patches)):
+        assert any(wanted in play(seed).wrong for seed in range(30))
+
+
+def test_an_heir_that_reads_the_ledger_too_early_is_found() -> None:
+    assert any("runs twice" in play(seed, stale=True).wrong for seed in range(30))
+
+
 def test_a_change_under_load_loses_rejects_and_abandons_nothing(tmp_path: Path) -> None:
     figures = anyio.run(changes, tmp_path, 1, 2, False, False, quiet)
     assert figures["handed_over"] == 2
--- /dev/null
+++ b/thistleline/lab/handoverworld.py
@@ -0,0 +1,419 @@
+"""Servers that follow one another, in virtual time: the reducers that run, a disk, an agent with one link,
+lines with delays, callers with repeats; deaths at any moment, on either side. No I/O.
+
+What is said on a link or a line comes in order, later or, where an end of it dies, never. What a death finds
+half written is on disk or not, by chance.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from thistleline.attended.succession import ELDER, Succeeding
+from thistleline.interface import Task
+from thistleline.lab.ledger import SETTINGS
+from thistleline.ledger.book import Work
+from thistleline.memory.phases import Phases
+from thistleline.wire.bench import read_bench
+
+MS, SECOND = 1_000_000, 1_000_000_000
+BENCH = read_bench(SETTINGS)
+WINDOW, LIMIT = BENCH.stages[0].window, BENCH.stages[0].limit_span
+STOP = 2 * SECOND
+BY_HEIR = {"start": "lodge", "stop": "lodger_stop", "measure": "lodger_measure"}
+
+
+class Life:
+    def __init__(self, number: int, now: int, chance: Random) -> None:
+        self.number = number
+        self.reducer = Succeeding(
+            BENCH, ("core_use", "on_cores", "heap_share", "links"), MS, 400, 1 << 20, 1, now, Phases(),
+            disk_bound=8 << 20, boot_ahead=0,
+        )  # fmt: skip
+        self.alive = True
+        self.serves = False  # it listens
+        self.to_farm = True
+        self.heir: Life | None = None
+        self.elder: Life | None = None
+        self.wake = 0
+        self.writing: Work | None = None
+
+
+class World:
+    def __init__(self, seed: int, rate: float = 40.0, deaths: bool = True, stale: bool = False) -> None:
+        """`stale` leaves a protection out: an heir reads the ledger before it is handed over, not after."""
+        self.stale = stale
+        self.chance, self.rate, self.deaths = Random(seed), rate, deaths
+        self.now = 1000 * SECOND
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.count = 0
+        self.lives: list[Life] = []
+        self.ways: dict[Any, int] = {}  # when the last message on a way arrives
+        self.disk: dict[int, list[Any]] = {}  # groups by segment
+        # the agent
+        self.link: Life | None = None
+        self.links = 0
+        self.running: dict[str, bytes] = {}
+        self.notices: list[tuple[int, str, str, int, bytes]] = []
+        self.starts: dict[bytes, list[tuple[int, bytes]]] = {}  # when, with what result
+        # the callers
+        self.open: dict[tuple[int, int, int], tuple[int, int, bytes, str]] = {}  # life, connection, seq
+        self.lines: dict[int, tuple[int, int]] = {}  # life and connection of each
+        self.connections = 0
+        self.bookings = 0
+        self.finished: dict[int, bytes] = {}
+        self.figures: Counter[str] = Counter()
+        self.wrong = ""
+
+    # ---- time
+
+    def at(self, delay: int, do: Callable[[], None]) -> None:
+        self.count += 1
+        heappush(self.queue, (self.now + delay, self.count, do))
+
+    def in_order(self, way: Any, least: int, most: int, do: Callable[[], None]) -> None:
+        arrives = max(self.now + self.chance.randint(least, most), self.ways.get(way, 0) + 1)
+        self.ways[way] = arrives
+        self.at(arrives - self.now, do)
+
+    def run(self, span: int) -> None:
+        until = self.now + span
+        while self.queue and self.queue[0][0] <= until and not self.wrong:
+            self.now, _, do = heappop(self.queue)
+            do()
+        self.now = max(self.now, until)
+
+    # ---- servers
+
+    def take(self, life: Life, kind: str, *told: Any) -> None:
+        if not life.alive:
+            return
+        try:
+            effects = life.reducer.take(self.now, kind, *told)
+        except Exception as error:
+            self.wrong = f"{kind} is no input that can be taken: {type(error).__name__} {error}"
+            return
+        for effect in effects:
+            if life.alive:
+                self.carry_out(life, *effect)
+        due = max(life.reducer.due(), self.now + MS // 10)
+        if life.alive and life.wake != due:
+            life.wake = due
+            self.at(due - self.now, lambda: self.take(life, "round") if life.wake == due else None)
+
+    def carry_out(self, life: Life, kind: str, *told: Any) -> None:
+        if kind in ("finished", "rejected", "abandoned", "misunderstood"):
+            if told[0] == ELDER:
+                self.say(life, life.elder, "away_over", str(told[1]), kind, list(told[2:]))
+            else:
+                self.answered(life, kind, *told)
+        elif kind in ("start", "stop", "measure"):
+            if life.to_farm:
+                if self.link is life:
+                    link = self.links
+                    self.in_order(("agent", link), MS // 10, MS, lambda: self.agent(link, kind, *told))
+            else:
+                self.say(life, life.heir, BY_HEIR[kind], *told)
+        elif kind == "write":
+            self.write(life, told[0])
+        elif kind == "hand":
+            self.hand(life, *told)
+        elif kind == "later":
+            heir = life.heir
+            if heir is not None:
+                self.in_order((life.number, heir.number), MS // 10, MS, lambda: self.at(
+                    100 * MS, lambda: self.say(heir, life, "heir_ready", self.now + STOP)))  # fmt: skip
+        elif kind == "forward":
+            name, task, _, _, word, body = told
+            self.say(life, life.heir, "forwarded", int(name), task, word, body)
+        elif kind == "heir_ended":
+            self.say(life, life.heir, "elder_ended", *told)
+        elif kind == "elder_told":
+            self.say(life, life.elder, told[0], *told[1])
+        elif kind == "dismiss":
+            self.at(self.chance.randint(1, 50 * MS), lambda: self.dismissed(life, told[0]))
+        elif kind == "close":
+            self.closed(life, told[0])
+        elif kind == "end":
+            self.figures["ended"] += 1
+            self.die(life)
+
+    def say(self, source: Life, to: Life | None, kind: str, *told: Any) -> None:
+        if to is not None:
+            self.in_order((source.number, to.number), MS // 20, MS, lambda: self.take(to, kind, *told))
+
+    def write(self, life: Life, work: Work) -> None:
+        life.writing = work
+
+        def durable() -> None:
+            if not life.alive or life.writing is not work:
+                return
+            life.writing = None
+            if self.deaths and self.chance.random() < 0.003:
+                if self.chance.random() < 0.5:
+                    self.append(work)
+                self.take(life, "unrecorded", "the disk")
+            else:
+                self.append(work)
+                for number in work.drops:
+                    self.disk.pop(number, None)
+                self.take(life, "recorded")
+
+        self.at(self.chance.randint(MS // 5, 4 * MS), durable)
+
+    def append(self, work: Work) -> None:
+        self.disk.setdefault(work.segment, []).append(work.group)
+
+    def die(self, life: Life) -> None:
+        life.alive = False
+        if life.writing is not None and self.chance.random() < 0.5:
+            self.append(life.writing)
+        if self.link is life:
+            self.link = None
+        for number, connection in {key[:2] for key in self.open}:
+            if number == life.number:
+                self.closed(life, connection)
+        for other in self.lives:
+            if other.heir is life:
+                other.heir = None
+                self.at(self.chance.randint(1, MS), lambda other=other: self.heir_gone(other))  # type: ignore[misc]
+            if other.elder is life:
+                other.elder = None
+                # What it said before it died comes first.
+                self.in_order((life.number, other.number), 1, MS, lambda other=other: self.elder_gone(other))  # type: ignore[misc]
+
+    def elder_gone(self, life: Life) -> None:
+        if life.serves:
+            self.take(life, "elder_gone")
+        elif life.alive:
+            self.begin(life)  # it died before it handed over
+
+    def heir_gone(self, life: Life) -> None:
+        self.take(life, "heir_gone")
+        if not life.to_farm:
+            self.at(500 * MS, lambda: self.alone(life))
+
+    def alone(self, life: Life) -> None:
+        if life.alive and life.heir is None:
+            life.to_farm = True
+            self.make_link(life)
+
+    # ---- one follows another
+
+    def follow(self) -> None:
+        """A server more, beside what is there."""
+        life = Life(len(self.lives) + 1, self.now, self.chance)
+        before = [one for one in self.lives if one.alive]
+        self.lives.append(life)
+        sole = next((one for one in before if one.serves and one.to_farm and one.heir is None), None)
+        if sole is not None and sole.reducer.stands == "sole":
+            sole.heir, life.elder = life, sole
+            if self.stale:
+                self.recover(life)
+            self.say(life, sole, "heir_ready", self.now + STOP)
+        else:
+            self.begin(life)
+
+    def begin(self, life: Life) -> None:
+        """With nobody that serves; one that handed over may be there still."""
+        if self.stale and life.reducer.names:
+            self.die(life)
+            return
+        if any(one.alive and one.serves and one.reducer.stands != "handed" for one in self.lives):
+            self.figures["no place"] += 1
+            self.die(life)
+            return
+        self.recover(life)
+        for other in self.lives:
+            if other.alive and other is not life and other.reducer.stands == "handed":
+                other.heir, life.elder = life, other
+                other.to_farm = False
+                if self.link is other:
+                    self.link = None
+                self.take(other, "heir_again", self.now + STOP)
+                return
+        self.serve(life)
+
+    def recover(self, life: Life) -> None:
+        book = life.reducer.book
+        for number in sorted(self.disk):
+            book.found_segment(number, 1000 * len(self.disk[number]))
+            for group in self.disk[number]:
+                book.found(number, [0], True, group)
+        book.forget_expired()
+        self.take(life, "recovered", list(book.recovered()))
+
+    def hand(self, life: Life, notice: int, runs: Any, owned: Any, again: bool) -> None:
+        heir = life.heir
+        life.to_farm = False
+        if self.link is life:
+            self.link = None
+        if not again:
+            life.serves = False
+            self.figures["handed over"] += 1
+        if heir is not None:
+            self.in_order((life.number, heir.number), MS // 20, MS,
+                          lambda: self.inherit(heir, 0 if again else notice, runs, owned, again))  # fmt: skip
+
+    def inherit(self, life: Life, notice: int, runs: Any, owned: Any, again: bool) -> None:
+        if not life.alive:
+            return
+        if not again and not self.stale:
+            self.recover(life)
+        self.take(life, "inherited", notice, runs, owned)
+        self.serve(life)
+
+    def serve(self, life: Life) -> None:
+        self.take(life, "listening")
+        life.serves = True
+        self.make_link(life)
+
+    # ---- the agent
+
+    def make_link(self, life: Life) -> None:
+        before, self.link = self.link, life
+        self.links += 1
+        link = self.links
+        if before is not None:
+            self.at(1, lambda: self.take(before, "agent_lost", "replaced"))
+
+        def greet() -> None:
+            if self.links == link:
+                self.take(life, "agent_up", False, 100 * SECOND)
+                known = life.reducer.notice
+                for told in self.notices:
+                    if told[0] > known:
+                        self.tell(link, "run_over", *told)
+
+        self.in_order(("told", link), MS // 5, 2 * MS, greet)
+
+    def tell(self, link: int, kind: str, *told: Any) -> None:
+        life = self.link
+        if link == self.links and life is not None:
+            self.in_order(("told", link), MS // 10, MS,
+                          lambda: self.take(life, kind, *told) if self.link is life else None)  # fmt: skip
+
+    def agent(self, link: int, kind: str, *told: Any) -> None:
+        if self.links != link and (kind != "start" or self.chance.random() < 0.5):
+            return  # else it was read before the other link came
+        if kind == "measure":
+            self.tell(link, "measured", told[0], [0.5, 1.0, 0.1, 1.0])
+        elif kind == "start" and told[0] not in self.running:
+            id, _, body = told
+            result = b"%d of " % len(self.notices) + body
+            self.running[id] = body
+            past = self.starts.setdefault(body, [])
+            if past and self.now - past[-1][0] < WINDOW:
+                self.wrong = f"{body!r} runs twice, {(self.now - past[-1][0]) / MS:.1f} ms after"
+            past.append((self.now, result))
+            takes = self.chance.choice((2, 20, 100, 400, 1500)) * MS
+            self.at(takes, lambda: self.over(id, takes, result))
+
+    def over(self, id: str, took: int, result: bytes) -> None:
+        if self.running.pop(id, None) is not None:
+            self.notices.append((len(self.notices) + 1, id, "finished", took, result))
+            self.tell(self.links, "run_over", *self.notices[-1])
+
+    # ---- callers
+
+    def call(self) -> None:
+        self.bookings += 1
+        number = self.bookings
+        self.ask(number, self.now + 5 * SECOND)
+        if self.chance.random() < 0.5:  # somebody asks the same at another place
+            self.at(self.chance.choice((1, 5, 50, 800)) * MS, lambda: self.ask(number, self.now + 5 * SECOND))
+        self.at(round(self.chance.expovariate(self.rate) * SECOND), self.call)
+
+    def ask(self, number: int, until: int) -> None:
+        line = self.chance.randrange(12)
+        where = self.lines.get(line)
+        alive = [one for one in self.lives if one.alive]
+        life = next((one for one in alive if where is not None and one.number == where[0]), None)
+        if life is None:
+            life = next((one for one in alive if one.serves), None)
+            if life is None:
+                self.again(number, until)
+                return
+            self.connections += 1
+            where = self.lines[line] = life.number, self.connections
+            self.take(life, "opened", self.connections)
+        assert where is not None
+        self.figures["tries"] += 1
+        seq, id = self.figures["tries"], f"{self.chance.getrandbits(64):016x}"
+        body = b"booking %d" % number
+        self.open[life.number, where[1], seq] = number, until, body, id
+        task = Task(id, 0, 0, 1, 0.9, None, 5 * MS, 1.0, self.now, None, False, None)
+        to, told = life, (where[1], seq, task, f"{number:032x}", memoryview(body))
+        self.in_order(("line", to.number, where[1]), MS // 20, MS, lambda: self.take(to, "task", *told))
+
+    def again(self, number: int, until: int) -> None:
+        if self.now < until:
+            self.at(self.chance.randint(5, 60) * MS, lambda: self.ask(number, until))
+        else:
+            self.figures["given up"] += 1
+
+    def answered(self, life: Life, kind: str, connection: int, seq: int, *told: Any) -> None:
+        asked = self.open.pop((life.number, connection, seq), None)
+        if asked is None:
+            self.wrong = f"a try is answered twice, or was never asked: {kind}"
+            return
+        number, until, body, _ = asked
+        self.figures[kind] += 1
+        runs = self.starts.get(body, [])
+        if kind == "finished":
+            result = bytes(told[0])
+            if all(result != one for _, one in runs):
+                self.wrong = f"{body!r} is given what no run made"
+            if self.finished.setdefault(number, result) != result:
+                self.wrong = f"{body!r} is given two results"
+        elif kind == "rejected":
+            if any(self.now - WINDOW < at for at, _ in runs):
+                self.wrong = f"{body!r} is rejected after it ran"
+            self.again(number, until)
+
+    def dismissed(self, life: Life, connection: int) -> None:
+        """What is asked from now on goes on another connection."""
+        for line, where in list(self.lines.items()):
+            if where == (life.number, connection):
+                del self.lines[line]
+
+    def closed(self, life: Life, connection: int) -> None:
+        for key in [key for key in self.open if key[:2] == (life.number, connection)]:
+            number, until, _, _ = self.open.pop(key)
+            self.figures["lost"] += 1
+            self.again(number, until)
+        self.dismissed(life, connection)
+
+    # ---- a run of it
+
+    def changes(self, count: int) -> None:
+        self.follow()
+        self.run(SECOND // 10)
+        self.call()
+        for _ in range(count):
+            self.run(self.chance.randint(50, 1500) * MS)
+            self.follow()
+            if self.deaths and self.chance.random() < 0.6:
+                self.run(self.chance.choice((1, 3, 10, 30)) * self.chance.randint(1, MS))
+                living = [one for one in self.lives if one.alive]
+                if living:
+                    self.figures["deaths"] += 1
+                    self.die(self.chance.choice(living))
+            if not any(one.alive for one in self.lives):
+                self.run(self.chance.randint(1, 300) * MS)
+                self.follow()
+        self.call = lambda: None  # type: ignore[method-assign]
+        self.run(3 * SECOND)
+        if not any(one.alive and one.serves for one in self.lives):
+            self.follow()
+        self.run(8 * SECOND)
+        if not self.wrong and self.open:
+            self.wrong = f"{len(self.open)} tries have no answer"
+
+
+def play(seed: int, count: int = 8, deaths: bool = True, stale: bool = False) -> World:
+    world = World(seed, deaths=deaths, stale=stale)
+    world.changes(count)
+    return world
