Lab of rolls: half of the fleet and a conductor cut from the council in a stage; back while a stage goes

Need: a partition with old and new on each side, and going back while a stage goes forward, were in no test.

Change: a fault of the lab; a story of the conductor.

--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -198,6 +198,29 @@
     assert stage.wants[-1][0] == "s00"
 
 
+def test_going_back_while_a_stage_goes_forward_brings_all_to_the_base() -> None:
+    stage = Stage(9, stages=("one", "all"), down=2, down_zone=2)
+    for _ in range(3):
+        stage.step()
+    first = stage.wants[0][0]
+    stage.show(first, release="2")
+    stage.put("order", Order(2, "skip", "no time"))
+    for _ in range(3):
+        stage.step()
+    under_way = [id for id, version in stage.wants if version == NEW and id != first]
+    assert under_way  # wanted, and not there yet
+    stage.put("order", Order(3, "back", "a bad feeling"))
+    for _ in range(30):
+        for id in stage.members:
+            last = [version for wanted, version in stage.wants if wanted == id]
+            if last:
+                stage.show(id, release=last[-1].release)
+        stage.step()
+    assert stage.roll is not None
+    assert stage.roll.phase == "back"
+    assert {one.release for one in stage.members.values()} == {OLD.release}
+
+
 def test_a_change_while_another_runs_is_refused_and_a_pause_holds_all() -> None:
     stage = Stage(9)
     stage.step()
--- a/thistleline/lab/roll.py
+++ b/thistleline/lab/roll.py
@@ -332,6 +332,7 @@
                 _kill_leader,
                 _kill_stewards,
                 _no_majority,
+                _cut_half,
                 _nothing,
             ]
             number = 1
@@ -401,6 +402,17 @@
         fleet.processes[name].go_on()
 
 
+async def _cut_half(fleet: Fleet, chance: Random) -> None:
+    """Half of the machines, new ones and old ones among them, and a conductor, from the council."""
+    names = [name for name in fleet.processes if name.startswith("m")]
+    away = {*chance.sample(names, len(names) // 2), chance.choice(("c0", "c1"))}
+    for (source, _), relay in fleet.relays.items():
+        if source in away:
+            relay.cut()
+    await anyio.sleep(4.0)
+    fleet.heal()
+
+
 def real(
     seed: int,
     plan: tuple[str, ...],
