Oracle of bookings by the window's true beginning; what an heir reads is dated as it is read

Seen: in three fleets on an overrun machine (a third of its time taken by others, load 22) the oracle counted 5 bookings 'rejected after they ran', of 36,000. The oracle took the window from the run's begin; the agent's pages take it from the time of the try that ran, which under overload is seconds before.

Found on the way: an heir dated intents written after its book was made to the time of the book (book.py, found), so that its own segments would go too early by as long as it took to come up; the reducer's entries were not short, as their rest counts from the same wrong time.

--- a/thistleline/attended/service.py
+++ b/thistleline/attended/service.py
@@ -169,11 +169,11 @@
 
     def _read_some(self) -> None:
         with suppress(OSError):
-            self.store.follow(self.reducer.book, self.read, False)
+            self.store.follow(self.reducer.book, self.read, False, boot_now())
 
     def _read_last(self) -> list[Any]:
         try:
-            self.store.follow(self.reducer.book, self.read, True)
+            self.store.follow(self.reducer.book, self.read, True, boot_now())
         except (Damaged, OSError) as error:
             raise Unusable(f"the ledger can't be read: {error}") from error
         return list(self.reducer.book.recovered())
--- a/thistleline/lab/caller.py
+++ b/thistleline/lab/caller.py
@@ -92,6 +92,7 @@
         self.lines = [Line(address, place) for place in range(lines)]
         self.stage, self.owner = stage, owner
         self.told: list[Told] = []
+        self.since: dict[str, float] = {}  # of each try by its id: when it was made, by the monotonic clock
         self.late = 0.0  # seconds that the latest first try was sent after its time
 
     def words(self, mark: str, again: bool) -> dict[str, str]:
@@ -111,7 +112,9 @@
     async def ask(self, mark: str, body: bytes, again: bool, group: Any) -> Told:
         line = self.chance.choice(self.lines)
         sent = time.monotonic()
-        kind, value = await line.ask(self.words(mark, again), body, group)
+        words = self.words(mark, again)
+        self.since[words["ref"]] = sent
+        kind, value = await line.ask(words, body, group)
         told = Told(mark, body, kind, value, sent, time.monotonic())
         self.told.append(told)
         return told
--- a/thistleline/lab/handover.py
+++ b/thistleline/lab/handover.py
@@ -137,7 +137,7 @@
 
     def judged(self) -> dict[str, int]:
         looked = {body: self.farm.ran.pop(body) for body in list(self.farm.ran) if body.startswith(b"lookup")}
-        figures = judge(self.farm, self.bookings.told)
+        figures = judge(self.farm, self.bookings)
         self.farm.ran |= looked
         answered = {one.mark for one in self.lookups.told if one.kind in ("finished", "abandoned")}
         asked = {one.mark for one in self.lookups.told}
--- a/thistleline/lab/machines.py
+++ b/thistleline/lab/machines.py
@@ -176,7 +176,7 @@
         sums: Counter[str] = Counter()
         harmed = {name for release in HARMFUL for name in self.reached(release)}
         for machine in self.machines:
-            figures = judge(machine.farm, machine.caller.told)
+            figures = judge(machine.farm, machine.caller)
             if machine.name in harmed:
                 figures["unanswered_while_harmed"] = figures.pop("unanswered")
             sums.update(figures)
--- a/thistleline/ledger/book.py
+++ b/thistleline/ledger/book.py
@@ -240,6 +240,11 @@
 
     # ---- recovery
 
+    def reading_at(self, now: int) -> None:
+        """What is found from here on may have been written till then. Guards what another program wrote
+        since this book was made against being taken for a time that can't be, and so forgotten too early."""
+        self._at(now)
+
     def found_segment(self, number: int, size: int) -> None:
         """Also of one that has grown since it was read."""
         if number in self.segments:
--- a/thistleline/ledger/store.py
+++ b/thistleline/ledger/store.py
@@ -75,10 +75,11 @@
             if collects:
                 gc.enable()
 
-    def follow(self, book: Book, read: dict[int, int], last: bool) -> None:
+    def follow(self, book: Book, read: dict[int, int], last: bool, now: int) -> None:
         """Tells the book what was added since the places in `read`, by segment, which move on; another
         program may write there meanwhile. `last`: none does any more. Raises Damaged as `recover` does, the
-        last time."""
+        last time. `now`: boot time."""
+        book.reading_at(now)
         there = set()
         for number, size in self.disk.segments():
             there.add(number)
