A server that ends before it can be watched no longer ends its steward

Cause, seen in a story that stuck: m0's steward was gone, its log ends in ProcessLookupError at os.pidfd_open (steward/service.py, _spawn). On a busy machine a server that ends at once is reaped by the loop's watcher before the steward opens its pid; the error ended the task group. The same at a steward's start, for a server that ends between two looks (_find).

Change: without a descriptor its exit code is awaited alone.

--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import os
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -16,7 +17,9 @@
 from thistleline.conductor.conducting import Conducting, Spans
 from thistleline.conductor.judge import Judge, Slot
 from thistleline.conductor.roll import STAGES, Order, Roll, Seen, controls, targets, wrong
+from thistleline.conf.schema import check
 from thistleline.lab.explore import explore
+from thistleline.lab.harness import free_port
 from thistleline.lab.ledger import SETTINGS
 from thistleline.lab.machines import Machines
 from thistleline.lab.mutants import without
@@ -24,6 +27,7 @@
 from thistleline.lab.stewardworld import BesideWorld, StewardWorld, following, following_beside, wander
 from thistleline.steward.keeping import SECOND, Keeping, State, Version, Want
 from thistleline.steward.releases import Releases, Unfit, digest_of, forms_of
+from thistleline.steward.service import StewardService
 from thistleline.steward.settings import unfit_settings
 from thistleline.store.latest import Latest
 
@@ -598,6 +602,35 @@
         assert [judged.get(what, 0) for what in broken] == 4 * [0]
 
 
+@pytest.mark.anyio
+async def test_a_server_that_ends_before_it_can_be_watched_ends_no_steward(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """On a busy machine it is gone, and reaped, before its steward comes to look at it."""
+
+    def gone(pid: int) -> int:
+        raise ProcessLookupError(3, "No such process")
+
+    monkeypatch.setattr(os, "pidfd_open", gone)
+    (tmp_path / "source").mkdir()
+    (tmp_path / "source" / "run").write_text("#!/bin/sh\nexit 3\n")
+    (tmp_path / "source" / "run").chmod(0o755)
+    digest = Releases(tmp_path / "releases").add("bad", tmp_path / "source")
+    (tmp_path / "plate.json").write_text("{}")
+    told = (f"members name m\nmembers listen 127.0.0.1:{free_port()}\ncouncil voter a=127.0.0.1:9\n"
+            f"steward folder {tmp_path}/s\nsteward plate {tmp_path}/plate.json\n"
+            f"steward releases {tmp_path}/releases\n")  # fmt: skip
+    service = StewardService(check("conf", told), lambda *_, **__: None)
+    async with anyio.create_task_group() as group:
+        service.group, keeping = group, service.keeping
+        keeping.phase, keeping.state = "spawning", State(None, Version("bad", digest), 1)
+        await service._spawn(1, Version("bad", digest))
+        with anyio.fail_after(10):
+            while not keeping.crashes:
+                await anyio.sleep(0.02)
+        group.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 async def test_settings_are_checked_before_they_are_kept_and_never_change(tmp_path: Path) -> None:
     async with anyio.create_task_group() as group:
--- a/thistleline/steward/service.py
+++ b/thistleline/steward/service.py
@@ -211,6 +211,11 @@
                 self.pids[life] = int(place.read_text())
                 watched = os.pidfd_open(self.pids[life])
             except (OSError, ValueError) as error:
+                lock = self._lock(life)
+                if lock is not None:  # it has ended just now
+                    os.close(lock)
+                    self.pids.pop(life, None)
+                    continue
                 raise Unfit(f"a server of life {life} has its lock and can't be found: {error}") from error
             self.group.start_soon(self._watch, life, watched, None)
             self.up_at = boot_now() - self.conf.warm
@@ -269,13 +274,18 @@
         for old in pid_place.parent.glob("*.*"):
             if old.stem.isdecimal() and int(old.stem) <= life - LIVES_KEPT and int(old.stem) not in self.pids:
                 old.unlink(missing_ok=True)
-        self.group.start_soon(self._watch, life, os.pidfd_open(process.pid), process)
+        try:
+            watched = os.pidfd_open(process.pid)
+        except ProcessLookupError:  # it has ended and been reaped already
+            watched = -1
+        self.group.start_soon(self._watch, life, watched, process)
         self.take("spawned", process.pid)
 
     async def _watch(self, life: int, watched: int, process: Any) -> None:
         """Of a server that another steward started the exit code is not known: -1."""
-        await anyio.wait_readable(watched)
-        os.close(watched)
+        if watched >= 0:
+            await anyio.wait_readable(watched)
+            os.close(watched)
         code = await process.wait() if process is not None else -1
         self.pids.pop(life, None)
         self._ask_owner()  # it may have served before it ended
