A story of the ledger's commands goes by the machine's own clock

Cause: it wrote a ledger whose times began at 5,000 s after the machine's start, and the command reads it by the true boot time: on a machine up for longer all had aged out (uptime 5,107 s, list empty; it passed at 4,800 s).

Change: the desk of that story begins at the boot time.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -37,6 +37,7 @@
 from thistleline.ledger.store import Store
 from thistleline.memory.phases import Phases
 from thistleline.policy import MS, SECOND
+from thistleline.store.clock import boot_now
 from thistleline.store.disk import Disk, Held
 from thistleline.store.frames import Damaged
 
@@ -531,7 +532,7 @@
 
 
 def test_the_commands_read_what_a_server_left(tmp_path: Path) -> None:
-    desk = KeptDesk(tmp_path / "kept")
+    desk = KeptDesk(tmp_path / "kept", boot=boot_now())  # the commands go by the machine's own clock
     for place in range(3):
         name = desk.send(1, f"mark{place}")
         desk.wait()
