The two worlds of the steward share how a step is made; one place for a server's reserves

Need: on reading the change again, the step of following_beside was a copy of that of following, and steward/settings.py repeated two numbers of life/service.py with a comment that they be the same.

Change: lab/stewardworld.py, steps(); RESERVE and CONNECTION_COST are imported from where they are defined. Behaviour as before.

--- a/thistleline/lab/stewardworld.py
+++ b/thistleline/lab/stewardworld.py
@@ -1,7 +1,7 @@
 """A steward, its disk and its server as a world to explore: the steward dies at any step, the server too."""
 
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, Self, TypeVar
 
 from thistleline.steward.keeping import SECOND, Keeping, State, Version, Want
 
@@ -26,7 +26,7 @@
         self.broken = ""
         self.start()
 
-    def copy(self) -> "StewardWorld":
+    def copy(self) -> Self:
         made = type(self).__new__(type(self))
         made.__dict__.update(self.__dict__)
         if self.keeping is not None:
@@ -207,15 +207,24 @@
         return hash((super().key(), told, rest))
 
 
-def following_beside(world: BesideWorld) -> "Iterator[tuple[str, BesideWorld]]":
-    def step(name: str, do: Callable[[BesideWorld], None], **spent: int) -> Iterator[tuple[str, BesideWorld]]:
+W = TypeVar("W", bound=StewardWorld)
+
+
+def steps(world: W) -> Callable[..., Iterator[tuple[str, W]]]:
+    """What makes a step: its name, what is done to a copy of the world, and what it spends."""
+
+    def step(name: str, do: Callable[[W], None], **spent: int) -> Iterator[tuple[str, W]]:
         made = world.copy()
-        assert isinstance(made, BesideWorld)
         for what, count in spent.items():
             setattr(made, what, getattr(made, what) - count)
         do(made)
         yield name, made
 
+    return step
+
+
+def following_beside(world: BesideWorld) -> Iterator[tuple[str, BesideWorld]]:
+    step = steps(world)
     if world.keeping is None:
         yield from step("the steward starts", BesideWorld.start)
     else:
@@ -231,9 +240,9 @@
             yield from step("the steward dies", BesideWorld.die, deaths=1)
     for life, _ in world.alive:
         if life in world.handed or life in world.termed_lives:
-            yield from step(f"{life} ends", lambda one, life=life: one.end_life(life))  # type: ignore[misc]
+            yield from step(f"{life} ends", lambda one, life=life: one.end_life(life))
         elif world.crashes:
-            yield from step(f"{life} crashes", lambda one, life=life: one.end_life(life), crashes=1)  # type: ignore[misc]
+            yield from step(f"{life} crashes", lambda one, life=life: one.end_life(life), crashes=1)
     if world.alive and world.alive[-1][0] > world.owner:
         yield from step("the latest comes to serve", lambda one: one.serve(one.alive[-1][0]))
     if world.now < world.horizon:
@@ -244,13 +253,7 @@
 
 
 def following(world: StewardWorld) -> Way:
-    def step(name: str, do: Callable[[StewardWorld], None], **spent: int) -> Way:
-        made = world.copy()
-        for what, count in spent.items():
-            setattr(made, what, getattr(made, what) - count)
-        do(made)
-        yield name, made
-
+    step = steps(world)
     if world.keeping is None:
         yield from step("the steward starts", StewardWorld.start)
     else:
--- a/thistleline/steward/settings.py
+++ b/thistleline/steward/settings.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from thistleline.life.service import CONNECTION_COST, RESERVE
 from thistleline.wire.bench import Malformed, read_bench, read_gauges, read_granularity
 
-RESERVE, CONNECTION_COST = 24, 32 * 1024  # as life/service.py has them: descriptors, bytes
 SIZE_BOUND = 512 * 1024  # bytes of a version: it has to go through the council in one record
 
 
