Names of the field in start and stop: configuration, agent link, stop accepting

Need: the repair touches thistleline/life and the reducer; 'plate', 'farm' and 'deaf' hid standard terms there.

Change: life/plate.py is life/configuration.py (Configuration, read_configuration), life/farm.py is life/agentlink.py (AgentLink), the effect 'deaf' is 'stop_accepting'.

--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -560,10 +560,12 @@
     assert desk.put("leave", by) == [("report", False)]
     assert desk.put("leave", by + SECOND) == []
     desk.wait(SECOND)
-    assert desk.kinds("deaf", "dismiss") == []
+    assert desk.kinds("stop_accepting", "dismiss") == []
     still = desk.send(5)
     desk.wait(900 * MS)
-    assert [effect[0] for effect in desk.kinds("deaf", "dismiss")] == ["deaf"] + ["dismiss"] * 5
+    assert [effect[0] for effect in desk.kinds("stop_accepting", "dismiss")] == ["stop_accepting"] + [
+        "dismiss"
+    ] * 5
     late = desk.send(6)
     assert ("dismiss", 6) in desk.effects
     desk.wait(2 * SECOND)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -33,8 +33,8 @@
     start,
     words,
 )
-from thistleline.life import farm
-from thistleline.life.plate import read_plate
+from thistleline.life import agentlink
+from thistleline.life.configuration import read_configuration
 from thistleline.life.service import Service
 from thistleline.life.streams import Stream
 
@@ -332,7 +332,9 @@
     anyio.run(story)
 
 
-@pytest.mark.parametrize(("there", "pauses"), [(True, [farm.PAUSES[0]] * 4), (False, list(farm.PAUSES[:4]))])
+@pytest.mark.parametrize(
+    ("there", "pauses"), [(True, [agentlink.PAUSES[0]] * 4), (False, list(agentlink.PAUSES[:4]))]
+)
 def test_a_link_that_breaks_is_made_anew_at_once_and_one_that_fails_ever_later(
     monkeypatch: pytest.MonkeyPatch, there: bool, pauses: list[float]
 ) -> None:
@@ -355,7 +357,7 @@
 
             monkeypatch.setattr(anyio, "sleep", sleep)
             host, port = agent.address.split(":")
-            group.start_soon(farm.Farm((host, int(port)), take, group).hold, lambda: 0)
+            group.start_soon(agentlink.AgentLink((host, int(port)), take, group).hold, lambda: 0)
 
     anyio.run(story)
     agent.close()
@@ -368,11 +370,11 @@
 ) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(TOLD))
-    service = Service(read_plate({"ROUTER_CONFIG": str(path)}))
+    service = Service(read_configuration({"ROUTER_CONFIG": str(path)}))
     noted: list[str] = []
     monkeypatch.setattr(service, "note", lambda event, **facts: noted.append(event))
     service.front = cast(Any, SimpleNamespace(flush=list))
-    service.farm = cast(Any, SimpleNamespace(flush=list))
+    service.agent = cast(Any, SimpleNamespace(flush=list))
     done: list[int] = []
 
     def misunderstood(connection: int, *_: Any) -> None:
@@ -388,7 +390,7 @@
     assert (noted, done) == (["fault"], [2])
 
 
-def test_a_new_plate_moves_the_links_and_a_malformed_one_changes_nothing(hall: Hall) -> None:
+def test_a_new_configuration_moves_the_links_and_a_malformed_one_changes_nothing(hall: Hall) -> None:
     agent, announce, instance = FakeAgent(), FakeAnnounce(), hall.instance
     with instance.connect() as link:
         link.sendall(process(1, booking(1, "mark")) + process(2, words(2)))
@@ -421,7 +423,7 @@
 
 
 @pytest.mark.parametrize("config", [None, "no file", "{", '{"settings": 1}'])
-def test_a_start_without_a_plate_ends_with_a_plain_line(tmp_path: Path, config: str | None) -> None:
+def test_a_start_without_a_configuration_ends_with_a_plain_line(tmp_path: Path, config: str | None) -> None:
     path = tmp_path / "config.json"
     if config is not None and config != "no file":
         path.write_text(config)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,8 +13,8 @@
 
 from tests.host import SETTINGS, TOLD, answered, asked, booking, probe, process, words
 from thistleline.life.clock import Clock
+from thistleline.life.configuration import read_configuration
 from thistleline.life.log import LINES_BOUND, Log
-from thistleline.life.plate import read_plate
 from thistleline.policy import MS, SECOND
 from thistleline.wire import agent, announce, thrift
 from thistleline.wire.bench import Malformed, read_bench
@@ -219,9 +219,17 @@
 def test_the_plate_is_read(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(TOLD))
-    plate = read_plate({"ROUTER_CONFIG": str(path), "ROUTER_LISTEN": "127.0.0.5:9091"})
-    assert (plate.name, plate.listen, plate.seed) == ("n3", ("127.0.0.5", 9091), 0x8C1F30D27A5BE964)
-    assert (plate.stop_span, plate.granularity, plate.descriptors <= 1024) == (3200 * MS, 5 * MS, True)
+    configuration = read_configuration({"ROUTER_CONFIG": str(path), "ROUTER_LISTEN": "127.0.0.5:9091"})
+    assert (configuration.name, configuration.listen, configuration.seed) == (
+        "n3",
+        ("127.0.0.5", 9091),
+        0x8C1F30D27A5BE964,
+    )
+    assert (configuration.stop_span, configuration.granularity, configuration.descriptors <= 1024) == (
+        3200 * MS,
+        5 * MS,
+        True,
+    )
 
 
 @pytest.mark.parametrize(
@@ -243,7 +251,7 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(TOLD | change))
     with pytest.raises(Malformed) as told:
-        read_plate({"ROUTER_CONFIG": str(path)})
+        read_configuration({"ROUTER_CONFIG": str(path)})
     assert "\n" not in str(told.value)
     assert str(told.value)
 
--- a/thistleline/__main__.py
+++ b/thistleline/__main__.py
@@ -15,20 +15,20 @@
         raise SystemExit(0)  # nothing listens yet, so nothing is owed
 
     signal.signal(signal.SIGTERM, leave)
-    # A new plate told of while starting waits until the service listens for it; guards against ending by it.
+    # SIGHUP while starting waits until the service listens for it; guards against ending by it.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
     import os
 
     import anyio
 
+    from thistleline.life.configuration import Unusable, read_configuration
     from thistleline.life.log import complain
-    from thistleline.life.plate import Unusable, read_plate
     from thistleline.life.service import Service
     from thistleline.wire.bench import Malformed
 
     try:
-        plate = read_plate(os.environ)
+        configuration = read_configuration(os.environ)
     except Malformed as error:
         complain(str(error))
         return 2
@@ -48,12 +48,15 @@
 
         serves = AttendedService
     try:
-        anyio.run(serves(plate, conf).run)
+        anyio.run(serves(configuration, conf).run)
     except Unusable as error:
         complain(str(error))
         return 2
     except OSError as error:
-        complain(f"{plate.name} can't listen on {plate.listen[0]}:{plate.listen[1]}: {error.strerror}")
+        complain(
+            f"{configuration.name} can't listen on "
+            f"{configuration.listen[0]}:{configuration.listen[1]}: {error.strerror}"
+        )
         return 1
     return 0
 
--- a/thistleline/attended/service.py
+++ b/thistleline/attended/service.py
@@ -43,8 +43,8 @@
 from thistleline.keeping import keeper
 from thistleline.keeping.keeper import hold, store_of
 from thistleline.ledger import form
+from thistleline.life.configuration import Unusable
 from thistleline.life.front import listen
-from thistleline.life.plate import Unusable
 from thistleline.life.service import Service
 from thistleline.links.codec import Unreadable
 from thistleline.memory.reducer import Reducer
@@ -75,8 +75,8 @@
         self.heir: Line | None = None
         self.inherited: Yours | None = None
         self.handed = False
-        self.to_farm = True  # whether the link to the agent is this one's
-        self.farm_scope: anyio.CancelScope | None = None
+        self.to_agent = True  # whether the link to the agent is this one's
+        self.agent_scope: anyio.CancelScope | None = None
         self.reports_scope: anyio.CancelScope | None = None
         self.greeted = anyio.Event()  # the agent's first word is here
         self.awaits: socket.socket | None = None
@@ -106,7 +106,7 @@
         self.note(
             "ledger", state="recovered", effects=len(found), ms=round(1000 * (time.monotonic() - begun))
         )
-        return found, listener if listener is not None else listen(self.plate.listen)
+        return found, listener if listener is not None else listen(self.configuration.listen)
 
     async def _follow(self, line: Line) -> socket.socket | None:
         """Reads what it will have, and asks for it; with nothing inherited where the elder died before."""
@@ -187,8 +187,8 @@
             self.does[kind] = does
         for kind in ANSWERS:
             self.does[kind] = self._answering(kind, self.does[kind])
-        self.does["deaf"] = self._deaf
-        self.farm.take = self._of_farm
+        self.does["stop_accepting"] = self._stop_accepting
+        self.agent.take = self._of_agent
         if self.inherited is not None:
             # Of one that lost its heir nothing is known here of what came after the last that it heard.
             notice = self.inherited.notice if self.inherited.lock else 0
@@ -199,7 +199,7 @@
         self.awaits = lines.listen(self.named)
         tell_owner(self.folder, os.environ.get("ROUTER_LIFE", "0"))
         self.note("succession", state="serves", followed=self.inherited is not None)
-        return [self._accept, self.hold_farm, self._report, self.pump, self.figures, self._await_heirs]
+        return [self._accept, self.hold_agent, self._report, self.pump, self.figures, self._await_heirs]
 
     async def _accept(self) -> None:
         await self._greeting()
@@ -212,24 +212,24 @@
             with anyio.move_on_after(GREETING):
                 await self.greeted.wait()
 
-    async def hold_farm(self) -> None:
-        with anyio.CancelScope() as self.farm_scope:
-            await super().hold_farm()
+    async def hold_agent(self) -> None:
+        with anyio.CancelScope() as self.agent_scope:
+            await super().hold_agent()
 
     async def _report(self) -> None:
         with anyio.CancelScope() as self.reports_scope:
             await self.announcer.keep_reporting()
 
-    def _of_farm(self, kind: str, *told: Any) -> None:
-        if self.to_farm:
+    def _of_agent(self, kind: str, *told: Any) -> None:
+        if self.to_agent:
             self.take(kind, *told)
             if kind == "agent_up":
                 self.greeted.set()
 
-    def _deaf(self) -> None:
+    def _stop_accepting(self) -> None:
         """Of one that has handed over what waits at the socket is the heir's."""
         if not self.handed:
-            self.front.deaf()
+            self.front.stop_accepting()
             return
         listener, self.front.listener = self.front.listener, None
         if listener is not None:
@@ -261,7 +261,7 @@
         self.take("elder_gone")
 
     def _forwarded(self, told: Forward) -> None:
-        bench, skew = self.plate.bench, self.clock.skew()
+        bench, skew = self.configuration.bench, self.clock.skew()
         stages = [place for place, stage in enumerate(bench.stages) if stage.name == told.stage]
         owners = [place for place, owner in enumerate(bench.owners) if owner.name == told.owner]
         if not stages or not owners:
@@ -323,7 +323,7 @@
             while (told := await line.receive()) is not None:
                 match told:
                     case Ready():
-                        by = self.clock.now() + self.plate.stop_span
+                        by = self.clock.now() + self.configuration.stop_span
                         self.take("heir_again" if self.handed else "heir_ready", by)
                     case Agent(kind, values) if kind in AGENT_SAYS:
                         self.take(kind, *values)
@@ -357,13 +357,13 @@
                 self.named = elder
             if self.reports_scope is not None:  # the heir reports under the same name
                 self.reports_scope.cancel()
-        self.to_farm = False
-        if self.farm_scope is not None:
-            self.farm_scope.cancel()
-        farm = self.farm
-        if farm.stream is not None:
-            farm.flush()
-            farm.stream.close()
+        self.to_agent = False
+        if self.agent_scope is not None:
+            self.agent_scope.cancel()
+        agent = self.agent
+        if agent.stream is not None:
+            agent.flush()
+            agent.stream.close()
         self._send_by_heir()
         descriptors = [self.store.disk.lock] if not again else []
         if listener is not None:
@@ -408,9 +408,9 @@
         """It has handed over and nobody is there: what it has running is asked of the agent itself, until an
         heir comes again."""
         await anyio.sleep(ALONE_AFTER)
-        if self.heir is not None or self.to_farm:
+        if self.heir is not None or self.to_agent:
             return
         self.note("succession", state="alone")
-        self.to_farm = True
-        self.does |= self.farm.effects()
-        await self.hold_farm()
+        self.to_agent = True
+        self.does |= self.agent.effects()
+        await self.hold_agent()
--- a/thistleline/keeping/keeper.py
+++ b/thistleline/keeping/keeper.py
@@ -12,7 +12,7 @@
 from thistleline.keeping.worth import Worth
 from thistleline.ledger.book import Book, Found, Work
 from thistleline.ledger.store import Reading, Store
-from thistleline.life.plate import Unusable
+from thistleline.life.configuration import Unusable
 from thistleline.store.clock import boot_now
 from thistleline.store.disk import Disk, Held
 from thistleline.store.frames import Damaged
--- a/thistleline/lab/server.py
+++ b/thistleline/lab/server.py
@@ -33,8 +33,8 @@
 from thistleline.keeping import keeper
 from thistleline.ledger import store
 from thistleline.life import service
+from thistleline.life.configuration import Unusable, read_configuration
 from thistleline.life.log import complain
-from thistleline.life.plate import Unusable, read_plate
 from thistleline.life.service import Service
 from thistleline.store.disk import Disk
 
@@ -144,8 +144,8 @@
 
 def main() -> int:
     fault = json.loads(os.environ.get("LAB_FAULT", "{}"))
-    plate = read_plate(os.environ)
-    if plate.name not in fault.get("only", [plate.name]):
+    configuration = read_configuration(os.environ)
+    if configuration.name not in fault.get("only", [configuration.name]):
         fault = {"figures": fault.get("figures")}
     LabDisk.fault = Faults.fault = fault
     setattr(keeper, "Disk", LabDisk)  # noqa: B010
@@ -164,7 +164,7 @@
     conf = read_conf(named) if named else None
     serves = LabAttended if conf is not None and conf.handover is not None else Faults
     try:
-        anyio.run(serves(plate, conf).run)
+        anyio.run(serves(configuration, conf).run)
     except Unusable as error:
         complain(str(error))
         return 2
--- a/thistleline/life/farm.py
+++ b/thistleline/life/agentlink.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from thistleline.life.plate import Address
+from thistleline.life.configuration import Address
 from thistleline.life.streams import Stream, connect
 from thistleline.wire import agent
 
@@ -14,7 +14,7 @@
 PAUSES = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4)  # after a link that carried nothing, the last again and again
 
 
-class Farm:
+class AgentLink:
     def __init__(self, address: Address, take: Callable[..., None], group: TaskGroup) -> None:
         self.address, self.take, self.group = address, take, group
         self.stream: Stream | None = None
--- a/thistleline/life/announcer.py
+++ b/thistleline/life/announcer.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from thistleline.life.plate import Address
+from thistleline.life.configuration import Address
 from thistleline.life.streams import Stream, connect
 from thistleline.wire.announce import Reports
 
--- a/thistleline/life/plate.py
+++ b/thistleline/life/configuration.py
@@ -1,4 +1,4 @@
-"""The plate that a server finds fixed to it at start: its name, its addresses, its limits and its bench."""
+"""The configuration that a server finds at its start: its name, its addresses, its limits and its bench."""
 
 import os
 from collections.abc import Mapping
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Plate:
+class Configuration:
     name: str
     listen: Address
     agent: Address
@@ -46,7 +46,7 @@
         }
 
 
-def read_plate(environ: Mapping[str, str]) -> Plate:
+def read_configuration(environ: Mapping[str, str]) -> Configuration:
     """Raises Malformed with one plain line; keys that are not known are passed over."""
     path = environ.get("ROUTER_CONFIG")
     if not path:
@@ -55,7 +55,7 @@
         with open(path, "rb") as file:
             told = orjson.loads(file.read())
         settings = told["settings"]
-        plate = Plate(
+        configuration = Configuration(
             name=str(environ.get("ROUTER_NAME") or told["name"]),
             listen=_address(environ.get("ROUTER_LISTEN") or told["listen"]),
             agent=_address(told["agent"]),
@@ -76,11 +76,11 @@
         raise Malformed(f"{path}: {error.args[0]!r} is missing or unknown") from error
     except (ValueError, TypeError, ArithmeticError, AttributeError) as error:
         raise Malformed(f"{path}: {' '.join(str(error).split())}") from error
-    if not plate.bench.stages:
+    if not configuration.bench.stages:
         raise Malformed(f"{path}: there are no stages")
-    if plate.bench.below != "none":
+    if configuration.bench.below != "none":
         raise Malformed(f"{path}: the agent's protocol has no calls to what lies below")
-    return plate
+    return configuration
 
 
 def _address(text: Any) -> Address:
--- a/thistleline/life/front.py
+++ b/thistleline/life/front.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from thistleline.life.plate import Address
+from thistleline.life.configuration import Address
 from thistleline.life.streams import Stream
 from thistleline.wire import thrift
 
@@ -93,7 +93,7 @@
             "misunderstood": self.misunderstood,
             "dismiss": self.dismiss,
             "close": self.close,
-            "deaf": self.deaf,
+            "stop_accepting": self.stop_accepting,
         }
 
     def read(self, name: int) -> None:
@@ -135,7 +135,7 @@
             stream.flush()
             stream.close()
 
-    def deaf(self) -> None:
+    def stop_accepting(self) -> None:
         """Takes what the machine has accepted, then no more: a refused connection proves that nothing ran."""
         listener, self.listener = self.listener, None
         if listener is not None:
--- a/thistleline/life/service.py
+++ b/thistleline/life/service.py
@@ -15,12 +15,12 @@
 import anyio.to_thread
 from anyio.abc import TaskGroup
 
+from thistleline.life.agentlink import AgentLink
 from thistleline.life.announcer import Announcer
 from thistleline.life.clock import Clock
-from thistleline.life.farm import Farm
+from thistleline.life.configuration import Configuration, read_configuration
 from thistleline.life.front import Front, listen
 from thistleline.life.log import Log
-from thistleline.life.plate import Plate, read_plate
 from thistleline.memory.phases import Phases
 from thistleline.memory.reducer import Effect, Reducer
 from thistleline.wire.bench import Malformed
@@ -33,29 +33,29 @@
 RESERVE = 24  # descriptors that are no client stub's: listener, links, log, the loop's own
 CONNECTION_COST = 32 * 1024  # bytes of an open connection, measured at 900 of them
 FIGURES_EVERY = 5.0
-TAKEN_UP = ("agent", "announce", "stop_span")  # of a new plate; all else needs a restart
+TAKEN_UP = ("agent", "announce", "stop_span")  # of a new configuration; all else needs a restart
 READ_FIRST = 3  # turns of the loop in which all that lies unread comes in, before the clock is heeded
 STANDSTILL, READ_FIRST_AFTER_STANDSTILL = 100 * MS, 12
 
 
 class Service:
-    def __init__(self, plate: Plate, conf: "Conf | None" = None) -> None:
-        self.plate = plate
+    def __init__(self, configuration: Configuration, conf: "Conf | None" = None) -> None:
+        self.configuration = configuration
         self.clock = Clock()
-        self.log = Log(plate.name)
+        self.log = Log(configuration.name)
         self.phases = Phases()
         told = (
-            plate.bench,
-            plate.gauges,
-            plate.granularity,
-            max(1, min(plate.descriptors - RESERVE, plate.memory // 4 // CONNECTION_COST)),
+            configuration.bench,
+            configuration.gauges,
+            configuration.granularity,
+            max(1, min(configuration.descriptors - RESERVE, configuration.memory // 4 // CONNECTION_COST)),
         )
-        results = plate.memory // 8
+        results = configuration.memory // 8
         if conf is not None and conf.ledger is not None and conf.ledger.results is not None:
             results = conf.ledger.results
         self.recover: Callable[[], Any] | None = None
         self.keeper: Callable[..., dict[str, Callable[..., None]]] | None = None
-        self.reducer = self.furnish(conf, (*told, results, plate.seed, self.clock.now(), self.phases))
+        self.reducer = self.furnish(conf, (*told, results, configuration.seed, self.clock.now(), self.phases))
         self.woken = anyio.Event()
         self.sleeps_until = 0
         self.busy = False
@@ -76,18 +76,20 @@
         """What an earlier life left, and where it listens."""
         # Until it knows what ran it does not listen: a refused connection proves that nothing ran.
         found = await anyio.to_thread.run_sync(self.recover) if self.recover is not None else None
-        return found, listen(self.plate.listen)
+        return found, listen(self.configuration.listen)
 
     async def run(self) -> None:
         """Raises OSError where it can't listen; what the ledger's recovery raises."""
         found, listener = await self.stand()
         async with anyio.create_task_group() as group:
-            front = self.front = Front(listener, Stubs(self.plate.bench), self.take_task, group)
-            farm = self.farm = Farm(self.plate.agent, self.take, group)
-            announcer = self.announcer = Announcer(self.plate.name, self.plate.announce, group, self.note)
+            front = self.front = Front(listener, Stubs(self.configuration.bench), self.take_task, group)
+            agent = self.agent = AgentLink(self.configuration.agent, self.take, group)
+            announcer = self.announcer = Announcer(
+                self.configuration.name, self.configuration.announce, group, self.note
+            )
             if self.keeper is not None:
                 self.does |= self.keeper(group)
-            for effects in (front.effects(), farm.effects(), announcer.effects()):
+            for effects in (front.effects(), agent.effects(), announcer.effects()):
                 self.does |= effects
             self.does |= {"log": self.told, "end": group.cancel_scope.cancel}
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -95,7 +97,7 @@
                 if found is not None:
                     self.take("recovered", found)
                 self.take("listening")
-                self.note("started", **self.plate.facts())
+                self.note("started", **self.configuration.facts())
                 for task in self.tasks(group):
                     group.start_soon(task)
                 gc.collect()
@@ -104,31 +106,37 @@
                     if number == signal.SIGHUP:
                         self.read_again()
                     else:
-                        self.take("leave", self.clock.now() + self.plate.stop_span)
+                        self.take("leave", self.clock.now() + self.configuration.stop_span)
 
     def tasks(self, group: TaskGroup) -> list[Callable[..., Any]]:
         """What runs beside each other until the end."""
-        return [self.front.accept, self.hold_farm, self.announcer.keep_reporting, self.pump, self.figures]
+        return [self.front.accept, self.hold_agent, self.announcer.keep_reporting, self.pump, self.figures]
 
-    async def hold_farm(self) -> None:
-        await self.farm.hold(lambda: self.reducer.notice)
+    async def hold_agent(self) -> None:
+        await self.agent.hold(lambda: self.reducer.notice)
 
     def read_again(self) -> None:
-        """Takes up what can be of a new plate; one that makes no sense changes nothing."""
+        """Takes up what can be of a new configuration; one that makes no sense changes nothing."""
         try:
-            plate = read_plate(os.environ)
+            configuration = read_configuration(os.environ)
         except Malformed as error:
             self.note("plate refused", why=str(error))
             return
         kept = {
-            field.name: getattr(self.plate, field.name)
-            for field in fields(plate)
-            if field.name not in TAKEN_UP and getattr(plate, field.name) != getattr(self.plate, field.name)
+            field.name: getattr(self.configuration, field.name)
+            for field in fields(configuration)
+            if field.name not in TAKEN_UP
+            and getattr(configuration, field.name) != getattr(self.configuration, field.name)
         }
-        self.plate = replace(plate, **kept)
-        self.farm.move(plate.agent)
-        self.announcer.move(plate.announce)
-        self.note("plate read", agent=plate.agent, announce=plate.announce, needs_restart=sorted(kept))
+        self.configuration = replace(configuration, **kept)
+        self.agent.move(configuration.agent)
+        self.announcer.move(configuration.announce)
+        self.note(
+            "plate read",
+            agent=configuration.agent,
+            announce=configuration.announce,
+            needs_restart=sorted(kept),
+        )
 
     def take_task(self, kind: str, *told: Any) -> None:
         if kind == "task":
@@ -152,7 +160,7 @@
             for name in self.front.flush():
                 self.front.close(name)
                 self.take("ended", name, "gone, or does not read")
-            self.farm.flush()
+            self.agent.flush()
             self.busy = False
         if self.reducer.due() < self.sleeps_until:
             self.woken.set()
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -10,7 +10,7 @@
 
 Effects are plain tuples:
 
-    (read connection) (close connection) (dismiss connection) (deaf)
+    (read connection) (close connection) (dismiss connection) (stop_accepting)
     (finished connection seq result level) (abandoned connection seq level)
     (rejected connection seq nowhere_else stay_away level)
     (health connection seq good level) (misunderstood connection seq method text)
@@ -218,7 +218,7 @@
             return
         self.phases.move("closing")
         self._log("phase", phase=self.phases.name, held=len(self.tries), runs=len(self.runs))
-        self.effects.append(("deaf",))
+        self.effects.append(("stop_accepting",))
         for name, connection in self.connections.items():
             self._dismiss(name, connection)
 
