--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,8 +14,8 @@
 def halls(tmp_path: Path) -> Iterator[Any]:
     made: list[Hall] = []
 
-    def make(agent_up: bool = True, **changes: Any) -> Hall:
-        agent, announce = FakeAgent(agent_up), FakeAnnounce()
+    def make(agent_up: bool = True, announce: FakeAnnounce | None = None, **changes: Any) -> Hall:
+        agent, announce = FakeAgent(agent_up), announce or FakeAnnounce()
         made.append(Hall(tmp_path, agent, announce, Instance(tmp_path, agent, announce, **changes)))
         return made[-1]
 
--- a/tests/host.py
+++ b/tests/host.py
@@ -392,13 +392,20 @@
 
     trouble = ""
 
+    def receive(self, source: Any) -> tuple[str, Any] | None:
+        """The next report: its path and what it tells; none at the end."""
+        line = source.readline()
+        if not line:
+            return None
+        length = 0
+        while (head := source.readline().strip()) != b"":
+            name, _, value = head.partition(b":")
+            length = int(value) if name.lower() == b"content-length" else length
+        return line.split()[1].decode(), json.loads(source.read(length))
+
     def serve(self, link: socket.socket, source: Any) -> None:
-        while line := source.readline():
-            length = 0
-            while (head := source.readline().strip()) != b"":
-                name, _, value = head.partition(b":")
-                length = int(value) if name.lower() == b"content-length" else length
-            self.heard.put((line.split()[1].decode(), json.loads(source.read(length))))
+        while (report := self.receive(source)) is not None:
+            self.heard.put(report)
             if self.trouble == "closes early":
                 return
             if self.trouble != "is slow":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -167,33 +167,23 @@
         super().__init__()
 
     def serve(self, link: socket.socket, source: Any) -> None:
-        while line := source.readline():
-            length = 0
-            while (head := source.readline().strip()) != b"":
-                name, _, value = head.partition(b":")
-                length = int(value) if name.lower() == b"content-length" else length
-            source.read(length)
+        while (report := self.receive(source)) is not None:
             with self.turn:
                 self.reports += 1
                 mine = self.reports
                 self.turn.notify_all()
                 self.turn.wait_for(lambda mine=mine: self.reports > mine, PATIENCE)  # type: ignore[misc]
             link.sendall(b"HTTP/1.1 204 Told\r\n\r\n")
-            self.heard.put((line.split()[1].decode(), mine))
+            self.heard.put(report)
 
 
-def test_reports_count_though_each_answer_comes_after_the_next_report(tmp_path: Path) -> None:
-    agent, announce = FakeAgent(), LateAnnounce()
+def test_reports_count_though_each_answer_comes_after_the_next_report(halls: Any) -> None:
+    announce = LateAnnounce()
     slow = {"module": "thistleline.life.streams", "what": "connect", "delay": 1.2}
-    instance = Instance(tmp_path, agent, announce, environ=faults(slow))
-    try:
-        assert [announce.hear()[0] for _ in range(3)] == ["/announce/n1"] * 3
-        told = [event for event in iter_events(instance, "figures") if event["event"] == "announce"]
-        assert [event["state"] for event in told] in ([], ["down", "up"])  # never down for good
-    finally:
-        instance.close()
-        agent.close()
-        announce.close()
+    hall = halls(announce=announce, environ=faults(slow))
+    assert [announce.hear() for _ in range(3)] == [("/announce/n1", {"accepting": "true"})] * 3
+    told = [event for event in iter_events(hall.instance, "figures") if event["event"] == "announce"]
+    assert [event["state"] for event in told] in ([], ["down", "up"])  # never down for good
 
 
 def iter_events(instance: Instance, last: str) -> list[dict[str, Any]]:
@@ -232,23 +222,17 @@
     ],
 )
 def test_an_announce_service_that_answers_nonsense_ends_no_more_than_its_connection(
-    tmp_path: Path, answer: bytes, more: bytes
+    halls: Any, answer: bytes, more: bytes
 ) -> None:
-    agent, announce = FakeAgent(), BrokenAnnounce(answer, more)
-    instance = Instance(tmp_path, agent, announce)
-    hall = Hall(tmp_path, agent, announce, instance)
-    try:
-        hall.up()
-        assert [announce.hear() for _ in range(3)] == ["report"] * 3
-        with instance.connect() as link:
-            link.sendall(process(1, words(1)))
-            hall.run(b"read")
-            assert set(answered(next(frames(link)))[3]) == {0}
-        assert instance.leave() == 0
-    finally:
-        instance.close()
-        agent.close()
-        announce.close()
+    announce = BrokenAnnounce(answer, more)
+    hall = halls(announce=announce)
+    hall.up()
+    assert [announce.hear() for _ in range(3)] == ["report"] * 3
+    with hall.instance.connect() as link:
+        link.sendall(process(1, words(1)))
+        hall.run(b"read")
+        assert set(answered(next(frames(link)))[3]) == {0}
+    assert hall.instance.leave() == 0
 
 
 @pytest.mark.parametrize(
@@ -377,6 +361,89 @@
             each.close()
 
 
+# ---- repeats
+
+
+def launches(hall: Hall) -> list[Any]:
+    """What the agent was told to start and has not been asked for yet."""
+    found = []
+    while not hall.agent.heard.empty():
+        heard = hall.agent.hear()
+        if heard[0] == "launch":
+            found.append(heard)
+    return found
+
+
+def test_a_repeat_that_crosses_the_runs_end_gets_its_result(hall: Hall) -> None:
+    """Both lie unread at once, whichever is read first."""
+    with hall.instance.connect() as link, hall.instance.connect() as other:
+        link.sendall(process(1, booking(1, "mark")))
+        launch = hall.agent.hear()
+        ask(other, probe(1, False))
+        os.kill(hall.instance.process.pid, signal.SIGSTOP)
+        other.sendall(process(2, booking(2, "mark", dup="1")))
+        hall.agent.end(launch[1], b"booked")
+        os.kill(hall.instance.process.pid, signal.SIGCONT)
+        assert answered(next(frames(link)))[3][0][1] == b"booked"
+        assert answered(next(frames(other)))[3][0][1] == b"booked"
+    assert launches(hall) == []
+
+
+def test_a_repeat_that_crosses_the_notice_to_leave_is_not_run(hall: Hall) -> None:
+    with hall.instance.connect() as link:
+        link.sendall(process(1, booking(1, "mark")))
+        launch = hall.agent.hear()
+        os.kill(hall.instance.process.pid, signal.SIGSTOP)
+        hall.instance.process.send_signal(signal.SIGTERM)
+        link.sendall(process(2, booking(2, "mark", dup="1")))
+        os.kill(hall.instance.process.pid, signal.SIGCONT)
+        source = frames(link)
+        assert answered(next(source))[0] == "farewell"
+        link.sendall(process(3, booking(3, "mark", dup="1")))
+        hall.agent.end(launch[1], b"booked")
+        answers = {seq: fields for _, _, seq, fields in map(answered, source)}
+    assert {seq: fields[0][1] for seq, fields in answers.items()} == dict.fromkeys((1, 2, 3), b"booked")
+    assert launches(hall) == []
+    assert hall.instance.process.wait(PATIENCE) == 0
+
+
+def test_a_repeat_at_the_edge_of_a_short_window_counts_by_when_it_came(halls: Any) -> None:
+    rows = [SETTINGS["classes"][0], {**SETTINGS["classes"][1], "window": 0.5}]
+    hall = halls(settings={**SETTINGS, "classes": rows})
+    hall.up()
+    first = time.time_ns() // 1_000_000 - 1000
+    with hall.instance.connect() as link:
+        source = frames(link)
+        link.sendall(process(1, booking(1, "mark", since=str(first))))
+        launch = hall.agent.hear()
+        hall.agent.end(launch[1], b"booked")
+        assert answered(next(source))[3][0][1] == b"booked"
+        link.sendall(process(2, booking(2, "mark", dup="1", since=str(first + 499))))
+        assert answered(next(source))[3][0][1] == b"booked"
+    assert launches(hall) == []
+
+
+def test_unsafe_work_without_a_key_is_never_started_a_second_time(halls: Any) -> None:
+    """Its start may have been lost with the link, or not; it is answered as failed, and in time."""
+    rows = [{**SETTINGS["classes"][0], "effect": "non_idempotent"}, SETTINGS["classes"][1]]
+    hall = halls(settings={**SETTINGS, "classes": rows})
+    hall.up()
+    with hall.instance.connect() as link:
+        link.sendall(process(1, words(1, lookup=None)) + process(2, words(2, lookup=None)))
+        started = [hall.agent.hear()[1]]
+        for _ in range(3):
+            hall.agent.drop()
+            while (heard := hall.agent.hear())[0] != "subscribe":
+                started.append(heard[1])
+        source = frames(link)
+        answers = [answered(next(source)) for _ in range(2)]
+        assert sorted((seq, set(fields)) for _, _, seq, fields in answers) == [(1, {2}), (2, {2})]
+        link.sendall(process(3, words(1, lookup=None)))  # the same id again: it may have run
+        assert answered(next(source))[2] == 3
+    started += [launch[1] for launch in launches(hall)]
+    assert sorted(started) == [words(1)["ref"], words(2)["ref"]]
+
+
 # ---- the end
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -16,10 +16,6 @@
     SETTINGS,
     TOLD,
     Desk,
-    FakeAgent,
-    FakeAnnounce,
-    Hall,
-    Instance,
     answered,
     frames,
     process,
@@ -259,20 +255,13 @@
         {"granularity": 0, "allowed": {}, "clientHabits": {}},
     ],
 )
-def test_another_customers_instance_serves(tmp_path: Path, changes: dict[str, Any]) -> None:
-    agent, announce = FakeAgent(), FakeAnnounce()
+def test_another_customers_instance_serves(halls: Any, changes: dict[str, Any]) -> None:
     limits = {"cores": 0.3, "memory_mb": 24.5, "sockets": 40}
-    instance = Instance(tmp_path, agent, announce, settings={**SETTINGS, **changes}, limits=limits)
-    hall = Hall(tmp_path, agent, announce, instance)
-    try:
-        hall.up()
-        name = (changes.get("classes") or SETTINGS["classes"])[0]["name"]
-        with instance.connect() as link:
-            link.sendall(process(1, words(1, service=name)))
-            hall.run(b"read")
-            assert set(answered(next(frames(link)))[3]) == {0}
-        assert instance.leave() == 0
-    finally:
-        instance.close()
-        agent.close()
-        announce.close()
+    hall = halls(settings={**SETTINGS, **changes}, limits=limits)
+    hall.up()
+    name = (changes.get("classes") or SETTINGS["classes"])[0]["name"]
+    with hall.instance.connect() as link:
+        link.sendall(process(1, words(1, service=name)))
+        hall.run(b"read")
+        assert set(answered(next(frames(link)))[3]) == {0}
+    assert hall.instance.leave() == 0
