Going on without a call names the call by its notice; the announce log tells silence, not each report

Ruled out: the deliveries, which went well; memory; the module, whose decision to leave the call out was right. At fault: skip_call in thistleline/wire/agent.py.

Change: the reducer keeps the notice's number with the call; test_calls.py forces it. 'announce down' is told after two seconds without any answer, no longer for one of several reports under way.

Measured: tests of calls, reducer and service pass.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -94,7 +94,7 @@
         name = begin(hall, link, 1, "notice")
         below.hear()
         below.end(name, "internal")
-        assert hall.agent.hear() == ("forgo", name)
+        assert hall.agent.hear() == ("forgo", name, "1")  # the number of the notice that told of the call
         hall.agent.end(name, b"less")
         assert answered(next(frames(link)))[3][0][1] == b"less"
 
--- a/thistleline/life/agentlink.py
+++ b/thistleline/life/agentlink.py
@@ -102,8 +102,8 @@
     def deliver(self, task: str, result: bytes) -> None:
         self._write(agent.deliver(task, result))
 
-    def skip_call(self, task: str) -> None:
-        self._write(agent.skip_call(task))
+    def skip_call(self, task: str, number: int) -> None:
+        self._write(agent.skip_call(task, number))
 
     def flush(self) -> None:
         if self.stream is not None and not self.stream.flush():
--- a/thistleline/life/announcer.py
+++ b/thistleline/life/announcer.py
@@ -42,6 +42,7 @@
         self.attempts: dict[Attempt, None] = {}  # the oldest first
         self.told: bool | None = None  # the state that was last answered for
         self.healthy = True
+        self.why = ""  # of the last that failed since one was answered
         self.answered_at = 0.0
 
     def effects(self) -> dict[str, Callable[..., None]]:
@@ -84,8 +85,8 @@
                 await self._until(begun + EVERY, attempt)
                 if self.told is False and not self.taking:
                     return
-                if self.healthy and anyio.current_time() - self.answered_at >= SILENCE:
-                    self._health(False, "no answer")
+                if anyio.current_time() - self.answered_at >= SILENCE:
+                    self._health(False, self.why or "no answer")
                 if attempt.good is not None:
                     await self._until(begun + EVERY if attempt.good else anyio.current_time() + PAUSE)
         finally:
@@ -140,9 +141,9 @@
         if not mine:
             return
         if why:
-            self._health(False, why)
+            self.why = why
         else:
-            self.told, self.answered_at = attempt.taking, anyio.current_time()
+            self.told, self.answered_at, self.why = attempt.taking, anyio.current_time(), ""
             self._health(True)
         self.changed.set()
 
--- a/thistleline/memory/reducer.py
+++ b/thistleline/memory/reducer.py
@@ -16,7 +16,7 @@
     (rejected connection seq nowhere_else stay_away level)
     (health connection seq good level) (misunderstood connection seq method text)
     (start id stage body) (stop id) (measure tag) (deep_check tag)
-    (deliver id result) (skip_call id) (call id patience body) (cancel_call id)
+    (deliver id result) (skip_call id number) (call id patience body) (cancel_call id)
     (report taking) (log event facts) (end by)
 
 The module is called once a round with all that came in; `Reducer` is the writer that its decisions go to.
@@ -634,7 +634,7 @@
             if run.frozen:
                 self.effects.append(("stop", run.id))
             if run.given is not None and run.given[0] >= self.lost_at - LOST_SPAN:
-                self._let_go_on(run, run.given[1])  # it stands at the call still: no notice came since
+                self._tell_on(run)  # it stands at the call still: no notice came since
 
     def _end_doubts(self) -> None:
         """Guards the room for runs against those whose start was lost: they count as run."""
@@ -664,7 +664,7 @@
             return
         task = self.at_agent[id]
         run = self.runs[task]
-        run.call, run.given = body, None
+        run.call, run.given = (number, body), None
         run.measures = -1  # it is known to have been started
         self.came_in.append(("wants_call", task))
 
@@ -680,12 +680,19 @@
     def _let_go_on(self, run: Run, result: bytes | None) -> None:
         """A run goes on from its call, with a result or without one. Without a link it is told once there is
         one, in `_restart`."""
-        run.call, run.given = None, (self.now, result)
+        assert run.call is not None
+        run.given = self.now, run.call[0], result
+        run.call = None
         if self.linked and self.mark is None:
-            if result is None:
-                self.effects.append(("skip_call", run.id))
-            else:
-                self.effects.append(("deliver", run.id, result))
+            self._tell_on(run)
+
+    def _tell_on(self, run: Run) -> None:
+        assert run.given is not None
+        _, number, result = run.given
+        if result is None:
+            self.effects.append(("skip_call", run.id, number))
+        else:
+            self.effects.append(("deliver", run.id, result))
 
     def _declined(self, what: str, id: str) -> None:
         task = self.at_agent.get(id, "") if what == "start" else ""
@@ -774,9 +781,10 @@
 
     def call(self, task: str, patience: int) -> None:
         run = self.runs.get(task)
-        if run is not None and run.call is not None and run.id not in self.calls:
+        stands = None if run is None else run.call
+        if run is not None and stands is not None and run.id not in self.calls:
             self.calls[run.id] = self.now, self.now + patience + CALL_SLACK
-            self.effects.append(("call", run.id, patience, run.call))
+            self.effects.append(("call", run.id, patience, stands[1]))
 
     def skip_call(self, task: str) -> None:
         run = self.runs.get(task)
--- a/thistleline/memory/tables.py
+++ b/thistleline/memory/tables.py
@@ -61,8 +61,8 @@
         self.measures = measures  # how many were asked for before it was started
         self.sent = False
         self.frozen = False
-        self.call: bytes | None = None  # the body of the call that it stands at
-        self.given: tuple[int, bytes | None] | None = None  # when it was let go on, with what result
+        self.call: tuple[int, bytes] | None = None  # that it stands at: its notice's number, the body
+        self.given: tuple[int, int, bytes | None] | None = None  # when it went on, from which, with what
         self.waiting: list[str] = []  # repeats that get its answer
 
 
--- a/thistleline/wire/agent.py
+++ b/thistleline/wire/agent.py
@@ -101,5 +101,6 @@
     return b"deliver %s %d\r\n%s\r\n" % (name.encode(), len(result), result)
 
 
-def skip_call(name: str) -> bytes:
-    return b"forgo %s\r\n" % name.encode()
+def skip_call(name: str, number: int) -> bytes:
+    """`number`: of the notice that told of the call."""
+    return b"forgo %s %d\r\n" % (name.encode(), number)
