--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.host import BOOKING, LOOKUP, ORDER, FakeHost, owners
+from tests.host import BOOKING, LOOKUP, ORDER, FakeHost, owners, stage
 from thistleline.policy import BUCKETS, MS, SECOND
 from thistleline.wire.bench import nanos
 from thistleline.wirehost.host import main, seconds
@@ -196,6 +196,21 @@
     assert host.fates(task) == ["start", "call", fate]
 
 
+def test_calls_that_end_soon_leave_room_for_the_next() -> None:
+    """A fifth of a second of each five is spent below, of three and a half that are this server's part."""
+    notice = stage(calls=True, skip_share=0.3, due_span=12 * SECOND, limit_span=20 * SECOND)
+    host = FakeHost((notice,), below="shared", calls_out=0.7)
+    tasks = [host.task() for _ in range(5)]
+    for task in tasks:
+        host.read(task)
+        host.round(("wants_call", task.id))
+        host.wait(200 * MS)
+        host.round(("call_over", task.id, "finished", 200 * MS))
+        host.round(("over", task.id, "finished", 300 * MS))
+        host.wait(SECOND)
+    assert [host.fates(task)[:2] for task in tasks] == [["start", "call"]] * 5
+
+
 # ---- safe drains
 
 
