Calls below are booked by what calls took lately, up to the end of a patience that follows it

Ruled out: booking what calls took without a bound on the patience. So a patience is four times what nine in ten of the last 16 calls took, those out longer counted, at least twice that, and the end of it is what is booked. Also: only what was given up lingers; the bound of 512 remembered calls, which would have counted a large share too low, goes by the span.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -4,6 +4,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.host import BOOKING, LOOKUP, ORDER, FakeHost, owners, stage
 from thistleline.policy import BUCKETS, MS, SECOND
@@ -211,6 +213,74 @@
     assert [host.fates(task)[:2] for task in tasks] == [["start", "call"]] * 5
 
 
+class Below:
+    """What lies below, with a clock of its own: every call that it had in hand, from when until when."""
+
+    def __init__(self, host: FakeHost) -> None:
+        self.host = host
+        self.held: list[tuple[int, int]] = []
+        self.out: list[tuple[int, str, str, int]] = []  # when it ends, whose, how, how long it took
+
+    def take(self, said: list[tuple[object, ...]], took: int) -> None:
+        now = self.host.now
+        for decision, name, *told in said:
+            if decision == "call" and isinstance(told[0], int):
+                lasts = min(took, told[0])
+                late = took > told[0]
+                self.held.append((now, now + lasts + self.host.bench.call_linger * late))
+                self.out.append((now + lasts, str(name), "timed_out" if late else "finished", lasts))
+
+    def most(self) -> float:
+        """The highest mean of calls in hand over a span."""
+        span, most = self.host.bench.calls_span, 0.0
+        for _, end in self.held:
+            within = (max(0, min(until, end) - max(begun, end - span)) for begun, until in self.held)
+            most = max(most, sum(within) / span)
+        return most
+
+
+@settings(max_examples=40, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 12), st.sampled_from([50, 200, 400, 1500, 9000])), min_size=20, max_size=80
+    ),
+    st.sampled_from([1.6, 3.0, 8.0]),
+)
+def test_no_span_holds_more_calls_below_than_the_share(steps: list[tuple[int, int]], share: float) -> None:
+    """However many want one, however long they take and however suddenly that changes."""
+    wide = stage(calls=True, due_span=12 * SECOND, limit_span=20 * SECOND)
+    host = FakeHost((wide,), below="shared", calls_out=share, cores=64, memory_kb=1e9)
+    below = Below(host)
+    for wanted, took in steps:
+        fresh = [host.task() for _ in range(wanted)]
+        came = [("wants_call", task.id) for task in fresh]
+        host.read(*fresh)
+        below.take(host.round(*came), took * MS)
+        for _ in range(8):
+            host.now += 25 * MS
+            ended = sorted(one for one in below.out if one[0] <= host.now)
+            below.out = [one for one in below.out if one[0] > host.now]
+            over = [("call_over", name, how, lasts) for _, name, how, lasts in ended]
+            over += [("over", name, "finished", lasts) for _, name, how, lasts in ended if how == "finished"]
+            below.take(host.round(*over, ("bell", "tick", {"on_cores": 1.0})), took * MS)
+    assert below.most() <= share * 1.001 + 25 / 5000  # an end is heard of at the next tick
+
+
+def test_a_call_below_that_stands_still_is_given_up_by_what_calls_took_and_a_slow_time_is_learned() -> None:
+    notice = stage(calls=True, skip_share=0.3, due_span=12 * SECOND, limit_span=20 * SECOND)
+    host = FakeHost((notice,), below="shared", calls_out=4.0)
+    patience = []
+    for took, how in [(200, "finished")] * 6 + [(800, "timed_out")] * 4 + [(1000, "finished")] * 14:
+        task = host.task()
+        host.read(task)
+        patience += [said[2] for said in host.round(("wants_call", task.id)) if said[0] == "call"]
+        host.wait(took * MS)
+        host.round(("call_over", task.id, how, took * MS), ("over", task.id, "finished", took * MS))
+    assert patience[0] == 6 * SECOND  # nothing is known yet: half of the time to the due time
+    assert set(patience[1:6]) == {800 * MS}  # four times what they take
+    assert patience[-1] >= 4 * SECOND  # what was given up and what came late taught that they take longer
+
+
 # ---- safe drains
 
 
--- a/thistleline/policy.py
+++ b/thistleline/policy.py
@@ -36,6 +36,7 @@
 TRUSTED, OVERTAKEN = 0.25, 1.5  # a pace's percentile that is trusted; of the time foreseen, for a stopped run
 SAME_PATIENCE, HABIT = 0.01, 32  # of the time limit; one in so many tries alike makes a caller's habit
 CALL_TRIES = 2  # for one run, the first included
+CALL_SAMPLES, CALL_LEAST, CALL_MOST = 16, 2, 4  # calls remembered; patience of one over what they take
 ANSWER_EARLY, LEAVE_EARLY = 2 * TICK, 200 * MS
 GRACE_USED, STAY_USED = 0.9, 0.6  # parts of the grace and of the time to the stop that still take tasks
 MANY = 6  # servers, of which the others take a leaving one's part at once
@@ -127,8 +128,9 @@
         self.callers: deque[int] = deque(maxlen=CALLERS_SEEN)
         # calls
         self.at_call: list[Exec] = []
-        self.calls: deque[tuple[int, int]] = deque(maxlen=512)  # from, until of those over
-        self.calling: dict[str, int] = {}
+        self.calls = deque[tuple[int, int]]()  # from, until of those over, a span back
+        self.calling: dict[str, tuple[int, int]] = {}  # from, until when at the latest it is in hand below
+        self.call_times: deque[int] = deque(maxlen=CALL_SAMPLES)
 
     # ---- a round
 
@@ -547,7 +549,7 @@
         if held is None:
             return
         self.at_call = [other for other in self.at_call if other is not held]
-        self._call_ended(name)
+        self._call_ended(name, True)
         if held.started:
             self.running -= 1
             self.memory -= held.task.held_kb * (self.bench.run_factor - 1)
@@ -575,34 +577,63 @@
     # ---- calls below
 
     def _make_calls(self, out: Writer) -> None:
-        """Calls have their own bound: this server's share of what lies below, as a mean over its span."""
+        """Calls have their own bound: this server's share of what lies below, as a mean over its span. What
+        is out is booked to the end of its patience, so the share holds when all below stands still; a
+        patience follows what calls took lately, so that those which end soon leave room for the next."""
         bench, now = self.bench, self.now
-        since = now - bench.calls_span
+        share, likely = int(bench.calls_out * bench.calls_span), 0
+        left = share
+        if self.at_call and bench.below == "shared":
+            since = now - bench.calls_span
+            while self.calls and self.calls[0][1] <= since:
+                self.calls.popleft()
+            spans = [*self.calls, *((begun, max(until, now)) for begun, until in self.calling.values())]
+            left -= sum(max(0, until - max(since, begun)) for begun, until in spans)
+            likely = self._likely_call()
         for held in sorted(self.at_call, key=_by_due):
             stage = self.rows[held.task.stage].stage
             patience = max(MS, (held.due - now) // 2)
             if bench.below == "shared":
-                ahead = patience + bench.call_linger
-                spans = [*self.calls, *((begun, now + ahead) for begun in self.calling.values())]
-                spent = sum(max(0, until - max(since, begun)) for begun, until in spans)
-                if spent and spent + ahead > bench.calls_out * bench.calls_span:
+                patience = min(patience, CALL_MOST * likely or patience)
+                room, least = left - bench.call_linger, min(patience, CALL_LEAST * likely or patience)
+                # Guards against a share that is counted too low, should there be more than are remembered.
+                if (left < share and room < least) or len(self.calls) >= SAMPLES:
                     if stage.skip_share > 0:
                         out.skip_call(held.task.id)
                         held.state = "running"
                         self.at_call.remove(held)
                     continue
+                patience = max(least, min(patience, room))
+                left -= patience + bench.call_linger
             self.at_call.remove(held)
             held.state = "calling"
-            self.calling[held.task.id] = now
+            self.calling[held.task.id] = now, now + patience + bench.call_linger
             out.call(held.task.id, patience)
 
-    def _call_ended(self, name: str) -> None:
-        if name in self.calling:
-            self.calls.append((self.calling.pop(name), self.now + self.bench.call_linger))
+    def _likely_call(self) -> int:
+        """How long a call takes, slow ones counted and those out already longer; 0: nothing is known."""
+        likely = 0
+        took = list(self.call_times)
+        if took:
+            likely = sorted(took)[int(HIGH * (len(took) - 1))]
+            took += [age for begun, _ in self.calling.values() if (age := self.now - begun) > likely]
+            likely = max(MS, sorted(took)[int(HIGH * (len(took) - 1))])
+        return likely
+
+    def _call_ended(self, name: str, given_up: bool) -> int:
+        """What is given up may stay in hand below for a while. Returns how long the call took."""
+        if name not in self.calling:
+            return 0
+        begun, _ = self.calling.pop(name)
+        if self.bench.below == "shared":
+            self.calls.append((begun, self.now + self.bench.call_linger * given_up))
+        return self.now - begun
 
     def _call_over(self, name: str, how: str, out: Writer) -> None:
         held = self.tasks.get(name)
-        self._call_ended(name)
+        took = self._call_ended(name, how in ("timed_out", "broken_off"))
+        if how in ("finished", "failed", "timed_out"):
+            self.call_times.append(took)
         if held is None or held.state == "over":
             return
         held.state = "running"
