Change feed, reducers: keyed table, writer under a lease, sources, followers, look-ups, archive

Nothing carries it out yet.

Ruled out: a digest for each number inside a step, which a merged delta does not know.

--- /dev/null
+++ b/tests/test_feed_writer.py
@@ -0,0 +1,1306 @@
+"""Who numbers the changes of configuration: fences, lost answers, takeovers, the ring, the disk."""
+
+import errno
+import json
+from collections.abc import Callable
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from thistleline.feed.archive import Archive
+from thistleline.feed.bounds import (
+    CHANGE_BOUND,
+    GROUP_BOUND,
+    ITEMS_BOUND,
+    KEY_BOUND,
+    PROPOSED_BOUND,
+    RING,
+    SECOND,
+    STALL,
+    VALUE_BOUND,
+)
+from thistleline.feed.check import fault
+from thistleline.feed.history import History
+from thistleline.feed.messages import Change, Group, Propose, Proposed, decode_group, encode
+from thistleline.feed.table import Table
+from thistleline.feed.writer import ASK_AGAIN, CATCH_UP_SPAN, LINE_SIZE, Writer, key_of
+from thistleline.lease.table import Table as Council
+from thistleline.lease.table import data_of
+from thistleline.lease.terms import Break, Denied, Done, Granted, Put, Take
+from thistleline.store.disk import Disk
+
+KEEPERS = ("a", "b", "c")
+
+
+def share(number: int) -> bytes:
+    return json.dumps({"share": 0.25, "allowance_per_s": number}).encode()
+
+
+def wish(request: str, key: str = "tenant/x", value: bytes | None = b'{"share":0.5}', **more: Any) -> Propose:
+    return Propose(request, ((key, value),), **more)
+
+
+class Voters:
+    """The council as one place where each request is decided at once: as a real one looks from outside.
+    Keeps all that was ever written, as the oracle of what may be said."""
+
+    def __init__(self) -> None:
+        self.table = Council()
+        self.index = self.grants = 0
+        self.epoch = 0
+        self.groups: list[Group] = []
+
+    def _decide(self, decision: Any) -> Any:
+        self.index += 1
+        return self.table.apply(self.index, data_of(decision))
+
+    def grant(self, who: str) -> int:
+        """To `who` a new lease; who had it is not told."""
+        if self.epoch:
+            self._decide(Break("feed", self.epoch, "a test"))
+        self.grants += 1
+        granted = self._decide(Take("feed", f"{who}.{self.grants}", 10 * SECOND))
+        assert isinstance(granted, Granted)
+        self.epoch = granted.epoch
+        return self.epoch
+
+    def put(self, put: Put) -> Done | Denied:
+        answer = self._decide(put)
+        assert isinstance(answer, Done | Denied)
+        if isinstance(answer, Done):
+            self.groups.append(decode_group(put.value))
+        return answer
+
+    def sequence(self) -> list[Change]:
+        return [change for group in self.groups for change in group.changes]
+
+
+class Keeper:
+    """A writer with what its service would be: requests that are out, what was answered."""
+
+    def __init__(self, voters: Voters, id: str, table: Table | None = None) -> None:
+        self.voters, self.id, self.now = voters, id, 0
+        self.history = History(table)
+        self.writer = Writer(id, self.history, KEEPERS, 0)
+        self.out: list[tuple[Any, ...]] = []  # get and put that the council has not seen yet
+        self.answers: dict[Any, Proposed] = {}
+        self.seen: list[tuple[Any, ...]] = []
+
+    @property
+    def phase(self) -> str:
+        return self.writer.phase
+
+    def tell(self, kind: str, *told: Any, after: int = 0) -> None:
+        self.now += after
+        for effect in self.writer.take(self.now, kind, *told):
+            self.seen.append(effect)
+            if effect[0] in ("get", "put"):
+                self.out.append(effect)
+            elif effect[0] == "answer":
+                assert effect[1] not in self.answers, "a proposer is answered twice"
+                self.answers[effect[1]] = effect[2]
+
+    def carry(self, request: tuple[Any, ...], answered: bool = True, unknown: bool = False) -> None:
+        """One request reaches the council; its answer comes, is lost, or is known to be lost."""
+        what, slot, told = request
+        if what == "get":
+            got = self.voters.table.get(told)
+            if answered:
+                self.tell("got", slot, got.value, got.version)
+            return
+        answer = self.voters.put(told)
+        if unknown:
+            self.tell("put_unknown", slot)
+        elif answered and isinstance(answer, Done):
+            self.tell("put_done", slot, answer.number)
+        elif answered:
+            assert isinstance(answer, Denied)
+            self.tell("put_denied", slot, answer.why)
+
+    def serve(self) -> "Keeper":
+        while self.out:
+            self.carry(self.out.pop(0))
+        return self
+
+    def hold(self) -> "Keeper":
+        self.tell("held", self.voters.grant(self.id))
+        return self
+
+    def propose(self, request: str, *told: Any, ticket: Any = None, **more: Any) -> None:
+        self.tell("proposed", ticket or request, wish(request, *told, **more))
+
+    def all_durable(self) -> None:
+        for id in KEEPERS:
+            self.tell("durable", id, self.history.table.number)
+
+    def write(self, count: int, durable: bool = True) -> None:
+        """So many changes, a group each."""
+        for _ in range(count):
+            number = self.history.table.number + 1
+            self.propose(f"r{number}", f"tenant/{number % 7}", share(number))
+            self.serve()
+            if durable:
+                self.all_durable()
+
+    def follow(self, above: "Keeper") -> None:
+        """As a follower would, at once to the newest there."""
+        table = self.history.table
+        if table.number < above.history.table.number:
+            delta = None
+            if above.history.knows(table.number, table.digest("all"), "all"):
+                delta = above.history.delta(table.number, "all")
+            if delta is None:
+                self.history.anew(above.history.table)
+            else:
+                self.history.move(delta.last, delta.items)
+
+    def kinds(self, kind: str) -> list[tuple[Any, ...]]:
+        return [effect for effect in self.seen if effect[0] == kind]
+
+
+def states(changes: list[Change]) -> list[Table]:
+    """What the table is at each number, by the oracle's own fold."""
+    found = [Table()]
+    for place, change in enumerate(changes):
+        assert change.number == place + 1, "a gap, or a number used twice"
+        found.append(found[-1].applied(change))
+    return found
+
+
+def leading(voters: Voters | None = None, id: str = "a", table: Table | None = None) -> Keeper:
+    return Keeper(voters or Voters(), id, table).hold().serve()
+
+
+# ---- proposals
+
+
+def test_a_change_is_answered_with_its_number_once_it_is_written() -> None:
+    one = leading()
+    one.propose("r", "route/x", b'{"limit_ms":100,"effect":"restartable"}')
+    assert one.answers == {}
+    assert one.history.table.number == 0
+    one.serve()
+    assert one.answers["r"] == Proposed("r", 1)
+    assert one.history.table.get("route/x") == (b'{"limit_ms":100,"effect":"restartable"}', 1)
+
+
+def test_a_refused_change_takes_no_number_and_its_reason_is_told() -> None:
+    one = leading()
+    one.propose("bad", "tenant/x", b'{"share":2,"colour":"red"}')
+    one.propose("good")
+    one.serve()
+    assert one.answers["good"].number == 1
+    assert "'colour'" in one.answers["bad"].why
+    assert "share" in one.answers["bad"].why
+
+
+def test_expected_versions_count_what_waits_in_front() -> None:
+    one = leading()
+    one.propose("1", expected=(("tenant/x", 0),))
+    one.propose("2", expected=(("tenant/x", 0),))  # 1 is out, and will have changed it
+    one.propose("3", expected=(("tenant/x", 1),))
+    one.propose("4", expected=(("tenant/x", 1),))  # 3 waits in front
+    one.propose("5", expected=(("tenant/x", 2),))
+    one.serve()
+    assert [one.answers[str(each)].number for each in range(1, 6)] == [1, 0, 2, 0, 3]
+    assert "has version 1, 0 was expected" in one.answers["2"].why
+
+
+def test_the_same_request_gets_one_number_out_waiting_and_done() -> None:
+    one = leading()
+    one.propose("r", ticket="first")
+    one.propose("r", ticket="while it is out")
+    one.propose("s", ticket="s")
+    one.propose("s", ticket="while it waits")
+    one.serve()
+    one.propose("r", ticket="later")
+    assert {ticket: told.number for ticket, told in one.answers.items()} == {
+        "first": 1,
+        "while it is out": 1,
+        "s": 2,
+        "while it waits": 2,
+        "later": 1,
+    }
+    assert one.history.table.number == 2
+
+
+def test_the_same_request_after_a_takeover_gets_its_number_from_the_ring() -> None:
+    one = leading()
+    one.write(20)
+    two = leading(one.voters, "b", one.history.table)
+    two.propose("r20")
+    two.propose("r4")  # more than 16 groups ago: neither in the ring nor in what this one wrote
+    two.serve()
+    assert two.answers["r20"].number == 20
+    assert "r4" not in two.answers  # the ring is full and nobody has told what is durable
+    assert len(one.voters.sequence()) == 20
+
+
+def test_ten_thousand_changes_go_out_in_few_groups_and_in_order() -> None:
+    one = leading()
+    for first in range(0, 10_000, 2000):
+        for number in range(first, first + 2000):
+            one.propose(f"r{number}", f"tenant/{number}", share(number))
+        while one.out:
+            one.carry(one.out.pop(0))
+            one.all_durable()
+    assert [one.answers[f"r{number}"].number for number in range(10_000)] == list(range(1, 10_001))
+    assert len(one.voters.groups) < 40
+    assert all(len(encode(group)) <= GROUP_BOUND for group in one.voters.groups)
+    assert max(len(encode(group)) for group in one.voters.groups) > GROUP_BOUND // 2
+
+
+def test_past_its_bound_the_line_takes_no_more() -> None:
+    one = leading()
+    for number in range(PROPOSED_BOUND + 1):
+        one.propose(f"r{number}", f"tenant/{number}")
+    assert "wait already" in one.answers[f"r{PROPOSED_BOUND}"].why
+    one.propose("r5", ticket="again")
+    assert "wait already" in one.answers["again"].why  # tickets are bounded too
+    while one.out:
+        one.carry(one.out.pop(0))
+        one.all_durable()
+    assert len(one.voters.sequence()) == PROPOSED_BOUND
+    one.propose("after")
+    one.serve()
+    assert one.answers["after"].number == PROPOSED_BOUND + 1
+
+
+def test_the_line_is_bounded_in_bytes_too() -> None:
+    one = leading()
+    large = tuple((f"common/{place}", b'{"text":"%s"}' % (b"x" * 4000)) for place in range(5))
+    for number in range(PROPOSED_BOUND):
+        one.tell("proposed", number, Propose(f"r{number}", large))
+        if number in one.answers:
+            break
+    assert one.writer.line_size < LINE_SIZE + CHANGE_BOUND
+    assert "bytes of changes wait already" in one.answers[number].why
+    assert number < PROPOSED_BOUND // 8
+
+
+def test_who_does_not_write_refuses_and_says_so() -> None:
+    one = Keeper(Voters(), "a")
+    one.propose("r")
+    assert one.answers["r"] == Proposed("r", why="a does not write")
+    one.hold()
+    one.propose("s")
+    assert "reading" in one.answers["s"].why
+
+
+# ---- the fence
+
+
+@pytest.mark.parametrize("first", ["new", "late"])
+def test_an_older_writers_put_after_a_newer_lease_is_refused(first: str) -> None:
+    old = leading()
+    old.write(3)
+    old.propose("late")
+    old.propose("waits")
+    late = old.out.pop()
+    new = leading(old.voters, "b", old.history.table)
+    for who in ("new", "late") if first == "new" else ("late", "new"):
+        if who == "new":
+            new.propose("n")
+            new.serve()
+        else:
+            old.carry(late)  # held up until now
+            old.serve()
+    assert old.phase == "standby"
+    assert old.answers["late"].unknown
+    assert old.answers["late"].number == 0
+    assert old.answers["waits"].number == 0
+    assert not old.answers["waits"].unknown
+    assert any(effect[0] == "release" for effect in old.seen)
+    assert new.answers["n"].number == 4
+    new.write(2)
+    assert [change.number for change in old.voters.sequence()] == [1, 2, 3, 4, 5, 6]
+
+
+def test_a_put_that_was_decided_just_before_the_newer_lease_counts_there() -> None:
+    old = leading()
+    old.propose("r")
+    old.carry(old.out.pop(), answered=False)
+    new = leading(old.voters, "b")
+    old.tell("lost", "not heard")
+    assert old.answers["r"].unknown
+    new.propose("r", ticket="again")
+    new.propose("s")
+    new.serve()
+    assert (new.answers["again"].number, new.answers["s"].number) == (1, 2)
+
+
+def test_an_answer_to_an_earlier_holds_put_is_not_taken_for_this_ones() -> None:
+    one = leading()
+    one.propose("r", "tenant/old")
+    stale = one.out.pop()
+    empty = one.voters.table.get(key_of(0))
+    one.carry(stale, answered=False)  # written, and its answer is under way
+    one.tell("held", one.voters.grant("a"))
+    for _, slot, _ in list(one.out):  # reads that are answered by what stood there before
+        one.tell("got", slot, empty.value, empty.version)
+    one.out.clear()
+    one.propose("s", "tenant/new")
+    assert one.out[-1][0] == "put"
+    assert one.out[-1][2].version == 0
+    one.tell("put_done", 0, 1)
+    assert "s" not in one.answers
+    one.serve()
+    assert one.answers["s"].number == 0
+    assert one.history.table.number == 0
+    assert [change.request for change in one.voters.sequence()] == ["r"]
+
+
+# ---- answers that are lost
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_lost_answer_to_what_was_written_is_settled_by_reading(told: bool) -> None:
+    one = leading()
+    one.propose("r")
+    one.carry(one.out.pop(), answered=False, unknown=told)
+    if not told:
+        one.tell("elapsed", after=6 * SECOND)
+    assert one.phase == "settling"
+    one.serve()
+    assert one.answers["r"] == Proposed("r", 1)
+    one.write(1)
+    assert one.history.table.number == 2
+    assert len(one.voters.groups) == 2
+
+
+def test_a_lost_put_is_made_again_with_the_same_version_and_counts_once() -> None:
+    one = leading()
+    one.propose("r")
+    lost = one.out.pop()
+    one.tell("put_unknown", 0)
+    one.carry(one.out.pop())  # the read: nothing there
+    again = one.out.pop()
+    assert again == lost
+    one.carry(lost, answered=False)  # it was only held up
+    one.carry(again)  # refused by its version: the first one stands there
+    one.serve()
+    assert one.answers["r"] == Proposed("r", 1)
+    assert len(one.voters.groups) == 1
+
+
+def test_while_the_council_does_not_answer_reads_and_puts_are_spaced_out() -> None:
+    one = leading()
+    one.propose("r")
+    tries = 0
+    for _ in range(100):
+        if one.out:
+            request = one.out.pop()
+            tries += 1
+            if request[0] == "put":
+                one.tell("put_unknown", request[1])
+            else:
+                one.carry(request)
+        else:
+            one.tell("elapsed", after=SECOND // 20)
+    assert tries < 60
+    while not one.answers:
+        one.serve()
+        one.tell("elapsed", after=SECOND // 20)
+    assert one.answers["r"].number == 1
+
+
+def test_a_record_written_by_a_newer_epoch_ends_this_one() -> None:
+    old = leading()
+    old.propose("r")
+    old.tell("put_unknown", 0)
+    new = leading(old.voters, "b")
+    new.propose("n")
+    new.serve()
+    old.out = [one for one in old.out if one[0] == "get"]
+    old.serve()
+    assert old.phase == "standby"
+    assert old.answers["r"].unknown
+    assert old.history.table.number == 0
+    assert "written by another" in old.kinds("release")[0][1]
+
+
+def test_a_council_that_is_full_ends_the_hold_and_the_answer_is_unknown() -> None:
+    one = leading()
+    one.propose("r")
+    one.out.clear()
+    one.tell("put_denied", 0, "the records are too large together")
+    one.serve()
+    assert one.answers["r"].unknown
+    assert "too large together" in one.answers["r"].why
+    assert one.phase == "standby"
+
+
+# ---- taking over
+
+
+def test_records_that_come_in_any_order_and_some_of_them_empty_are_put_together() -> None:
+    one = leading()
+    one.write(5)
+    for order in ([*range(RING)], [*reversed(range(RING))], [3, 0, 15, 1, *range(4, 15), 2]):
+        two = Keeper(one.voters, "b").hold()
+        two.out.sort(key=lambda request: order.index(request[1]))
+        two.serve()
+        assert two.phase == "writing"
+        assert two.history.table == one.history.table
+
+
+def test_reads_without_an_answer_are_asked_anew() -> None:
+    one = Keeper(Voters(), "a").hold()
+    del one.out[3:]
+    one.serve()
+    assert one.phase == "reading"
+    assert one.writer.due() == ASK_AGAIN
+    one.tell("elapsed", after=ASK_AGAIN)
+    assert len(one.out) == RING - 3
+    assert one.serve().phase == "writing"
+
+
+def test_a_table_older_than_the_ring_follows_another_keeper_first() -> None:
+    one = leading()
+    one.write(3)
+    behind = one.history.table
+    one.write(30)
+    two = Keeper(one.voters, "b", behind).hold()
+    two.serve()
+    assert two.phase == "catching_up"
+    assert len(two.kinds("follow")) == 1
+    two.propose("r")
+    assert "catching up" in two.answers["r"].why
+    third = Keeper(one.voters, "c", behind)
+    third.history.anew(states(one.voters.sequence())[10])
+    two.follow(third)  # nearer, but not there
+    two.tell("caught_up")
+    assert two.phase == "catching_up"
+    assert two.history.table.number == 10
+    two.follow(one)
+    two.tell("caught_up")
+    assert two.phase == "writing"
+    assert two.history.table == one.history.table
+    two.all_durable()
+    two.write(1)
+    assert two.answers["r34"].number == 34
+
+
+def test_who_finds_nobody_to_catch_up_from_gives_the_lease_back() -> None:
+    one = leading()
+    one.write(20)
+    two = Keeper(one.voters, "b").hold()
+    two.serve()
+    two.tell("elapsed", after=CATCH_UP_SPAN - 1)
+    two.history.anew(states(one.voters.sequence())[2])
+    two.tell("caught_up")  # nearer: it has its span anew
+    two.tell("elapsed", after=CATCH_UP_SPAN - 1)
+    assert two.phase == "catching_up"
+    two.tell("elapsed", after=1)
+    assert two.phase == "standby"
+    assert "no other keeper" in two.kinds("release")[0][1]
+
+
+def spoiled(voters: Voters, slot: int, spoil: Callable[[Group], Any]) -> None:
+    records = voters.table.state.records
+    value, version = records[key_of(slot)]
+    told = spoil(decode_group(value))
+    records[key_of(slot)] = (told if isinstance(told, bytes) else encode(told), version)
+
+
+SPOILED: dict[str, tuple[Callable[[Group], Any], str]] = {
+    "bytes": (lambda group: b"\xc1", "can't be read"),
+    "a gap": (
+        lambda group: Group(
+            group.epoch,
+            tuple(Change(one.number + 1, one.request, one.items) for one in group.changes),
+            group.before,
+            group.after,
+        ),
+        "does not follow",
+    ),
+    "no change": (lambda group: Group(group.epoch, (), group.before, group.after), "holds no change"),
+    "a later epoch": (
+        lambda group: Group(99, group.changes, group.before, group.after),
+        "does not follow",
+    ),
+    "another value": (
+        lambda group: Group(
+            group.epoch,
+            tuple(Change(one.number, one.request, (("tenant/y", b"{}"),)) for one in group.changes),
+            group.before,
+            group.after,
+        ),
+        "not the one it was written for",
+    ),
+    "a digest": (lambda group: Group(group.epoch, group.changes, b"", group.after), "does not follow"),
+}
+
+
+@pytest.mark.parametrize("how", SPOILED)
+def test_a_group_that_does_not_fit_is_never_applied(how: str) -> None:
+    spoil, why = SPOILED[how]
+    one = leading()
+    one.write(4)
+    spoiled(one.voters, 2, spoil)
+    two = leading(one.voters, "b")
+    assert two.phase == "standby"
+    assert two.history.table.number == 0
+    assert why in two.kinds("release")[0][1]
+    two.propose("r")
+    two.serve()
+    assert two.answers["r"].number == 0
+
+
+def test_a_missing_record_in_the_middle_is_a_gap() -> None:
+    one = leading()
+    one.write(4)
+    del one.voters.table.state.records[key_of(1)]
+    two = leading(one.voters, "b")
+    assert two.phase == "standby"
+    assert "does not follow" in two.kinds("release")[0][1]
+
+
+def test_a_table_that_is_not_what_the_groups_were_written_on_does_not_lead() -> None:
+    one = leading()
+    one.write(4)
+    wrong = Table().moved(2, [("tenant/x", b"{}", 2)])
+    two = leading(one.voters, "b", wrong)
+    assert two.phase == "standby"
+    assert two.history.table is wrong
+    same_number = Table().moved(4, [("tenant/x", b"{}", 4)])
+    three = leading(one.voters, "c", same_number)
+    assert three.phase == "standby"
+    assert "not the one" in three.kinds("release")[0][1]
+    newer = Table().moved(9, [("tenant/x", b"{}", 9)])
+    four = leading(one.voters, "b", newer)
+    assert four.phase == "standby"
+    assert "records end at 4" in four.kinds("release")[0][1]
+
+
+def test_a_lease_lost_while_reading_or_catching_up_ends_that() -> None:
+    one = leading()
+    one.write(20)
+    two = Keeper(one.voters, "b").hold()
+    two.tell("lost", "not heard")
+    two.serve()
+    assert two.phase == "standby"
+    two.hold().serve()
+    assert two.phase == "catching_up"
+    two.tell("lost", "not heard")
+    two.follow(one)
+    two.tell("caught_up")
+    assert two.phase == "standby"
+    assert two.writer.due() > 1 << 60
+
+
+# ---- the ring
+
+
+def test_a_slot_is_not_written_over_before_a_majority_has_its_group() -> None:
+    one = leading()
+    one.write(RING, durable=False)
+    one.propose("r", "tenant/r")
+    assert one.out == []
+    one.tell("durable", "a", RING)
+    assert one.out == []  # one of three
+    one.tell("durable", "stranger", RING)
+    assert one.out == []
+    one.tell("durable", "b", 0)
+    assert one.out == []
+    one.tell("durable", "b", 1)  # has what stands in the oldest slot
+    assert [request[0] for request in one.out] == ["put"]
+    one.serve()
+    assert one.answers["r"].number == RING + 1
+    one.propose("s", "tenant/s")
+    assert one.out == []  # the next slot holds change 2
+
+
+def test_with_too_few_keepers_changes_are_refused_and_go_on_by_themselves_later() -> None:
+    one = leading()
+    one.write(RING, durable=False)
+    one.tell("durable", "a", RING)
+    one.propose("r", "tenant/r")
+    one.tell("elapsed", after=STALL - 1)
+    assert "r" not in one.answers  # keepers may just be slow
+    one.tell("elapsed", after=1)
+    assert "change 1 is on the disks of 1 of 3 keepers" in one.answers["r"].why
+    one.propose("s")
+    assert "1 of 3 keepers" in one.answers["s"].why
+    one.propose("r7", ticket="known")
+    assert one.answers["known"].number == 7
+    assert one.writer.facts()["stopped"] == 1
+    assert one.writer.due() > 1 << 60
+    one.tell("durable", "c", RING)
+    one.propose("t")
+    one.serve()
+    assert one.answers["t"].number == RING + 1
+    assert one.writer.facts()["stopped"] == 0
+
+
+def test_a_keeper_that_lost_its_disk_counts_no_more() -> None:
+    one = leading()
+    one.write(RING, durable=False)
+    one.tell("durable", "a", RING)
+    one.tell("durable", "b", RING)
+    one.tell("durable", "b", 0)  # it is back, with nothing
+    one.propose("r")
+    assert one.out == []
+
+
+def test_what_was_durable_in_an_earlier_hold_does_not_count_but_the_own_disk_does() -> None:
+    one = leading()
+    one.write(RING)
+    one.hold().serve()
+    one.propose("r")
+    assert one.out == []
+    one.tell("durable", "c", RING)
+    one.serve()
+    assert one.answers["r"].number == RING + 1
+
+
+# ---- all of it by chance
+
+
+class Fleet(RuleBasedStateMachine):
+    """Three keepers; requests and answers that are lost or late; holders that are not told of the next one;
+    keepers that lag, start anew and lose a disk, one at a time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.voters = Voters()
+        self.keepers = {id: Keeper(self.voters, id) for id in KEEPERS}
+        self.disks = dict.fromkeys(KEEPERS, Table())
+        self.late: list[tuple[Keeper, tuple[Any, ...]]] = []
+        self.made: dict[str, int] = {}
+        self.requests = 0
+        self.lost_disk, self.lost_at = "", 0
+        self.folded: list[Table] = [Table()]
+
+    who = st.sampled_from(KEEPERS)
+
+    @rule(who=who)
+    def hold(self, who: str) -> None:
+        self.keepers[who].hold()
+
+    @rule(who=who)
+    def hear_of_the_loss(self, who: str) -> None:
+        one = self.keepers[who]
+        if one.writer.epoch != self.voters.epoch:
+            one.tell("lost", "not heard")
+
+    @rule(who=who, key=st.integers(0, 3), old=st.booleans(), expected=st.none() | st.integers(0, 3))
+    def propose(self, who: str, key: int, old: bool, expected: int | None) -> None:
+        one = self.keepers[who]
+        if not old:
+            self.requests += 1
+        request = f"q{self.requests}"
+        versions: tuple[tuple[str, int], ...] = ()
+        if expected is not None:
+            versions = ((f"tenant/{key}", expected),)
+        one.propose(
+            request,
+            f"tenant/{key}",
+            share(key),
+            ticket=(request, len(one.answers), one.now),
+            expected=versions,
+        )
+        one.now += 1
+
+    @rule(who=who, how=st.sampled_from(["served", "served", "lost", "unanswered", "unknown", "late"]))
+    def carry(self, who: str, how: str) -> None:
+        one = self.keepers[who]
+        while one.out:
+            request = one.out.pop(0)
+            if how == "served":
+                one.carry(request)
+                continue
+            if how == "late":
+                self.late.append((one, request))
+            elif how == "lost":
+                if request[0] == "put":
+                    one.tell("put_unknown", request[1])
+            else:
+                one.carry(request, answered=False, unknown=how == "unknown" and request[0] == "put")
+            return
+
+    @precondition(lambda self: self.late)
+    @rule(place=st.integers(0, 20), answered=st.booleans())
+    def come_late(self, place: int, answered: bool) -> None:
+        one, request = self.late.pop(place % len(self.late))
+        one.carry(request, answered=answered)
+
+    @rule(who=who, after=st.sampled_from([SECOND // 10, SECOND, 6 * SECOND]))
+    def elapse(self, who: str, after: int) -> None:
+        self.keepers[who].tell("elapsed", after=after)
+
+    @rule(who=who, above=who)
+    def follow(self, who: str, above: str) -> None:
+        one = self.keepers[who]
+        if one.phase in ("standby", "catching_up"):
+            one.follow(self.keepers[above])
+            one.tell("caught_up")
+
+    @rule(who=who)
+    def persist(self, who: str) -> None:
+        one = self.keepers[who]
+        self.disks[who] = one.history.table
+        for other in self.keepers.values():
+            other.tell("durable", who, one.history.table.number)
+        if who == self.lost_disk and self.disks[who].number >= self.lost_at:
+            self.lost_disk = ""
+
+    @rule(who=who, count=st.integers(1, 2 * RING), kept=st.integers(0, 3), then=st.sampled_from(["", "gone"]))
+    def busy(self, who: str, count: int, kept: int, then: str) -> None:
+        """A quiet stretch: one takes the lease, catches up and writes many groups; so many keepers, itself
+        the first, have them on disk at once. Its own disk may be gone right after."""
+        one = self._lead(who)
+        place = KEEPERS.index(who)
+        for _ in range(count):
+            self._ask(one)
+            one.serve()
+            for other in (KEEPERS[place:] + KEEPERS[:place])[:kept]:
+                if other != who:
+                    self.follow(other, who)
+                self.persist(other)
+        request = f"q{self.requests}"
+        one.propose(request, ticket=(request, "again", len(one.answers)))
+        one.serve()
+        if then:
+            self.lose_disk(who)
+
+    @rule(who=who, other=who, count=st.integers(0, 3), how=st.sampled_from(["before", "after", "unknown"]))
+    def overtaken(self, who: str, other: str, count: int, how: str) -> None:
+        """A Put is under way while another takes the lease and writes; it reaches the council before that
+        one's, after them, or the writer asks what became of it."""
+        one = self._lead(who)
+        self._ask(one)
+        if who == other or not one.out:
+            return
+        put = one.out.pop()
+        two = self._lead(other)
+        if how == "before":
+            one.carry(put)
+        for _ in range(count):
+            self._ask(two)
+            two.serve()
+        if how == "after":
+            one.carry(put)
+        elif how == "unknown":
+            one.tell("put_unknown", put[1])
+        one.serve()
+
+    def _lead(self, who: str) -> Keeper:
+        one = self.keepers[who].hold().serve()
+        for above in KEEPERS:
+            self.follow(who, above)
+        return one.serve()
+
+    def _ask(self, one: Keeper) -> None:
+        self.requests += 1
+        one.propose(f"q{self.requests}", f"tenant/{self.requests % 4}", share(self.requests))
+
+    @rule(who=who)
+    def start_anew(self, who: str) -> None:
+        self._anew(who)
+
+    @rule(who=who)
+    def lose_disk(self, who: str) -> None:
+        if self.lost_disk in ("", who):
+            self.lost_disk = who
+            self.lost_at = max(self.lost_at, len(self.voters.sequence()))
+            self.disks[who] = Table()
+            self._anew(who)
+
+    def _anew(self, who: str) -> None:
+        now = self.keepers[who].now
+        self._look(self.keepers[who])
+        self.late += [(self.keepers[who], request) for request in self.keepers[who].out]
+        self.keepers[who] = Keeper(self.voters, who, self.disks[who])
+        self.keepers[who].now = now
+        self.keepers[who].tell("durable", who, self.disks[who].number)
+
+    def _look(self, one: Keeper) -> None:
+        for (request, *_), told in ((t, told) for t, told in one.answers.items() if isinstance(t, tuple)):
+            if told.number:
+                assert self.made.setdefault(request, told.number) == told.number
+
+    @invariant()
+    def what_was_told_stands(self) -> None:
+        changes = self.voters.sequence()
+        for change in changes[len(self.folded) - 1 :]:
+            self.folded.append(self.folded[-1].applied(change))  # raises for a gap or a second use
+        for one in self.keepers.values():
+            self._look(one)
+            table = one.history.table
+            assert table == self.folded[table.number] or (
+                table.digest("all") == self.folded[table.number].digest("all")
+            )
+            for request, told in one.answers.items():
+                if told.number and isinstance(request, str):
+                    assert self.made.setdefault(request, told.number) == told.number
+            if one.phase == "writing" and not one.writer.out and one.writer.epoch == self.voters.epoch:
+                assert table.number == len(changes), "a writer that does not know what was made"
+        for request, number in self.made.items():
+            assert changes[number - 1].request == request
+
+    def teardown(self) -> None:
+        """All is well again: any keeper can lead, with all that was ever told."""
+        for who in KEEPERS:
+            one = self._lead(who)
+            assert one.phase == "writing", one.kinds("release")
+            self.what_was_told_stands()
+            one.all_durable()
+            one.write(1)
+            assert one.history.table.number == len(self.voters.sequence())
+
+
+Fleet.TestCase.settings = settings(
+    derandomize=True, database=None, max_examples=200, stateful_step_count=30, deadline=None
+)
+test_what_was_acknowledged_is_in_every_later_writers_table = Fleet.TestCase
+
+
+def test_a_copy_for_exploration_goes_its_own_way() -> None:
+    one = leading()
+    one.write(2)
+    one.propose("r")
+    before = one.writer.frozen()
+    hash(before)
+    copied = one.writer.copy()
+    assert copied.frozen() == before
+    copied.take(one.now, "put_done", 2, 1)
+    copied.take(one.now, "proposed", "t", wish("s"))
+    assert copied.history.table.number == 3
+    assert one.writer.frozen() == before
+    assert one.history.table.number == 2
+    one.serve()
+    assert one.answers["r"].number == 3
+
+
+# ---- what a change may say
+
+ROUTE = {"limit_ms": 500, "effect": "restartable"}
+
+
+def why(key: str, value: Any, table: Table | None = None) -> str:
+    told = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return fault(Propose("r", ((key, told),)), table or Table())
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("route/x", ROUTE),
+        ("route/x/y", {**ROUTE, "stage": "search", "due_ms": 120.5, "utility": 3, "calls": True}),
+        ("route/x", {**ROUTE, "due_stretch": 2, "window_ms": 0, "late_share": 0.5, "skip_share": 1}),
+        ("tenant/x", {"share": 0}),
+        ("tenant/x", {"share": 1, "allowance_per_s": 12.5}),
+        ("common/tenant", {"share": 0.1}),
+        ("common/x", {"any": [1, {"thing": None}], "text": "é\n"}),
+    ],
+)
+def test_what_may_stand(key: str, value: Any) -> None:
+    assert why(key, value) == ""
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "reason"),
+    [
+        ("route/x", {**ROUTE, "colour": 1}, "no field 'colour'"),
+        ("route/x", {"limit_ms": 500}, "effect is missing"),
+        ("route/x", {**ROUTE, "effect": "read_like"}, "effect: "),
+        ("route/x", {**ROUTE, "limit_ms": 0}, "limit_ms: "),
+        ("route/x", {**ROUTE, "limit_ms": "500"}, "limit_ms: "),
+        ("route/x", {**ROUTE, "limit_ms": True}, "limit_ms: "),
+        ("route/x", {**ROUTE, "limit_ms": 1e12}, "limit_ms: "),
+        ("route/x", {**ROUTE, "due_ms": 501}, "due_ms is above limit_ms"),
+        ("route/x", {**ROUTE, "utility": -1}, "utility: "),
+        ("route/x", {**ROUTE, "late_share": 1.5}, "late_share: "),
+        ("tenant/x", {"share": 1.1}, "share: "),
+        ("tenant/x", {"allowance_per_s": 1}, "share is missing"),
+        ("common/tenant", {"sharing": 1}, "no field 'sharing'"),
+        ("common/x", b'{"a":NaN}', "no JSON"),
+        ("common/x", b'{"a":1e999}', ""),
+        ("common/x", b'{"a":-1e300}', "too large"),
+        ("common/x", b'{"a":' + b"9" * 400 + b"}", ""),
+        ("common/x", b"[" * 4000, "no JSON"),
+        ("common/x", b'{"a":' + b"[" * 40 + b"]" * 40 + b"}", "levels deep"),
+        ("common/x", b"[]", "no JSON object"),
+        ("common/x", b"\xff", "no JSON"),
+        ("common/x", {"a\u0007": 1}, "no name of a field"),
+        ("common/x", {"a": "\u0000"}, "can't be printed"),
+        ("common/x", {"a": "x" * VALUE_BOUND}, f"{VALUE_BOUND} at most"),
+        ("other/x", {}, "none of the sections"),
+        ("route", ROUTE, "no name"),
+        ("route/", ROUTE, "no name"),
+        ("route/ x", ROUTE, "spaces"),
+        ("route/x\n", ROUTE, "can't be printed"),
+        ("route/" + "x" * KEY_BOUND, ROUTE, f"{KEY_BOUND} at most"),
+    ],
+)
+def test_what_may_not_stand(key: str, value: Any, reason: str) -> None:
+    told = why(key, value)
+    assert told
+    assert reason in told
+
+
+def test_all_faults_of_a_change_are_told_at_once_and_within_bounds() -> None:
+    items = (
+        ("tenant/x", b'{"share":2,"allowance_per_s":-1,"colour":1}'),
+        ("tenant/y", b"{"),
+        ("tenant/y", None),
+        ("nowhere/z", b"{}"),
+    )
+    told = fault(Propose("r", items, (("tenant/x", 3),)), Table())
+    for part in (
+        "share: ",
+        "allowance_per_s: ",
+        "'colour'",
+        "no JSON",
+        "'tenant/y' is there twice",
+        "nowhere",
+    ):
+        assert part in told
+    assert "'tenant/x' has version 0, 3 was expected" in told
+    many = tuple((f"other/{'x' * 190}{place}", b"{}") for place in range(100))
+    assert len(fault(Propose("r", many), Table())) < 5000
+
+
+def test_the_bounds_of_a_change() -> None:
+    good = b'{"share":0.1}'
+    assert "1 to 1000 are allowed" in fault(Propose("r", ()), Table())
+    assert fault(Propose("r", tuple((f"tenant/{one}", good) for one in range(ITEMS_BOUND))), Table()) == ""
+    assert fault(Propose("r", tuple((f"tenant/{one}", good) for one in range(ITEMS_BOUND + 1))), Table())
+    large = tuple((f"common/{one}", b'{"a":"%s"}' % (b"x" * 4000)) for one in range(7))
+    assert f"{CHANGE_BOUND} at most" in fault(Propose("r", large), Table())
+    for request in ("", "x" * 65, "a\nb"):
+        assert "a request is named" in fault(Propose(request, (("tenant/x", good),)), Table())
+    versions = tuple((f"tenant/{one}", 0) for one in range(ITEMS_BOUND + 1))
+    assert "expected versions" in fault(Propose("r", (("tenant/x", good),), versions), Table())
+
+
+def test_a_table_that_is_full_takes_no_new_entry_but_other_values(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("thistleline.feed.check.ENTRIES_BOUND", 2)
+    table = Table().moved(1, [("tenant/a", b"{}", 1), ("tenant/b", b"{}", 1)])
+    assert "more than 2 entries" in why("tenant/c", {"share": 0}, table)
+    assert why("tenant/a", {"share": 0}, table) == ""
+    swap = Propose("r", (("tenant/c", b'{"share":0}'), ("tenant/a", None)))
+    assert fault(swap, table) == ""
+
+
+@settings(derandomize=True, database=None)
+@given(st.text(max_size=300), st.binary(max_size=100), st.text(max_size=80))
+def test_no_strangers_bytes_end_the_check(key: str, value: bytes, request: str) -> None:
+    for one in (key, f"route/{key}", f"common/{key}"):
+        assert isinstance(fault(Propose(request, ((one, value),), ((one, 1),)), Table()), str)
+
+
+# ---- on disk
+
+
+def tables(count: int, first: Table | None = None) -> list[Table]:
+    found = [first or Table()]
+    for _ in range(count):
+        number = found[-1].number + 1
+        items = (f"tenant/{number}", share(number)), (f"route/{number % 3}", b"%d" % number)
+        found.append(found[-1].applied(Change(number, f"r{number}", items)))
+    return found
+
+
+def step(before: Table, after: Table) -> tuple[int, int, Any]:
+    number = after.number
+    keys = (f"tenant/{number}", f"route/{number % 3}")
+    return before.number, number, tuple((key, *(after.get(key) or (None, 0))) for key in keys)
+
+
+class Troubled(Disk):
+    """Counts its calls; fails from the given one on, as a full disk does: a write goes half of its way."""
+
+    def __init__(self, folder: Path, kept: str = "feed") -> None:
+        super().__init__(folder, kept)
+        self.calls, self.fails_from, self.fails_until = 0, 1 << 60, 1 << 60
+        self.removes = True
+        self.order: list[str] = []
+
+    def _call(self, what: str) -> bool:
+        self.calls += 1
+        self.order.append(what)
+        return self.fails_from <= self.calls < self.fails_until
+
+    def begin(self, number: int) -> None:
+        if self._call("begin"):
+            raise OSError(errno.ENOSPC, "full")
+        super().begin(number)
+
+    def append(self, data: bytes) -> None:
+        if self._call("append"):
+            super().append(data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "full")
+        super().append(data)
+
+    def sync(self) -> None:
+        if self._call("sync"):
+            raise OSError(errno.EIO, "broken")
+        super().sync()
+
+    def sync_folder(self) -> None:
+        if self._call("sync_folder"):
+            raise OSError(errno.EIO, "broken")
+        super().sync_folder()
+
+    def remove(self, number: int) -> None:
+        if not self.removes or self._call("remove"):
+            raise OSError(errno.EIO, "broken")
+        super().remove(number)
+
+
+def found(folder: Path, kind: Any = "all") -> tuple[Table | None, str]:
+    archive = Archive(Disk(folder, "feed"), kind)
+    return archive.recover(), archive.why
+
+
+def filled(folder: Path, many: list[Table]) -> Archive:
+    archive = Archive(Troubled(folder), "all")
+    archive.disk.hold()
+    assert archive.recover() is None
+    archive.write(many[0])
+    for before, after in pairwise(many):
+        assert archive.write(after, [step(before, after)]) == after.number
+    archive.disk.release()
+    return archive
+
+
+def same(one: Table | None, other: Table) -> bool:
+    return one is not None and one == other
+
+
+def test_what_was_written_is_found_again(tmp_path: Path) -> None:
+    many = tables(9)
+    filled(tmp_path, many)
+    table, _ = found(tmp_path)
+    assert same(table, many[-1])
+    assert len(list(tmp_path.glob("*.feed"))) == 1
+
+
+def test_several_steps_go_in_one_write_and_a_step_that_leads_elsewhere_is_a_snapshot(tmp_path: Path) -> None:
+    many = tables(6)
+    disk = Troubled(tmp_path)
+    disk.hold()
+    archive = Archive(disk, "all")
+    archive.write(many[0])
+    calls = disk.calls
+    archive.write(many[3], [step(many[place], many[place + 1]) for place in range(3)])
+    assert disk.calls == calls + 2
+    assert archive.segment == 1
+    archive.write(many[3])
+    assert disk.calls == calls + 2  # nothing new, nothing written
+    archive.write(many[6], [step(many[4], many[5]), step(many[5], many[6])])  # 4 is missing
+    assert archive.segment == 2
+    assert same(found(tmp_path)[0], many[6])
+    archive.write(many[2])  # loaded anew from another, older
+    assert same(found(tmp_path)[0], many[2])
+
+
+def test_an_instances_side_holds_no_tenants(tmp_path: Path) -> None:
+    many = tables(3)
+    disk = Disk(tmp_path, "feed")
+    disk.hold()
+    archive = Archive(disk, "wide")
+    wide = [Table().moved(one.number, one.entries("wide"), "wide") for one in many]
+    archive.write(wide[1])
+    archive.write(wide[2], [step(many[1], many[2])])
+    table, _ = found(tmp_path, "wide")
+    assert table == wide[2]
+    assert found(tmp_path, "all")[0] is None  # that is another kind of archive
+
+
+def test_a_torn_last_write_leaves_the_one_before(tmp_path: Path) -> None:
+    many = tables(4)
+    filled(tmp_path / "x", many[:4])
+    path = next((tmp_path / "x").glob("*.feed"))
+    whole_before = path.stat().st_size
+    filled(tmp_path / "y", many)
+    data = next((tmp_path / "y").glob("*.feed")).read_bytes()
+    half = whole_before + (len(data) - whole_before) // 2
+    for end in range(whole_before, len(data) + 1):
+        path.write_bytes(data[:end])
+        table, _ = found(tmp_path / "x")
+        assert same(table, many[3] if end < half else many[4]), end
+
+
+def test_a_torn_first_snapshot_is_nothing(tmp_path: Path) -> None:
+    many = tables(4)
+    filled(tmp_path, many[4:])
+    path = next(tmp_path.glob("*.feed"))
+    data = path.read_bytes()
+    for end in range(len(data)):
+        path.write_bytes(data[:end])
+        assert found(tmp_path)[0] is None, end
+
+
+def test_a_flipped_bit_is_mended_by_the_copy_or_seen(tmp_path: Path) -> None:
+    many = tables(3)
+    filled(tmp_path, many)
+    path = next(tmp_path.glob("*.feed"))
+    data = bytearray(path.read_bytes())
+    for place in range(len(data)):
+        data[place] ^= 1 << place % 8
+        path.write_bytes(data)
+        table, told = found(tmp_path)
+        assert same(table, many[3]) or (table is None and told), place
+        data[place] ^= 1 << place % 8
+
+
+def test_steps_that_are_gone_in_the_middle_are_damage(tmp_path: Path) -> None:
+    many = tables(3)
+    sizes = []
+    for place in range(3):
+        filled(tmp_path / str(place), many[: place + 2])
+        sizes.append(next((tmp_path / str(place)).glob("*.feed")).stat().st_size)
+    path = next((tmp_path / "2").glob("*.feed"))
+    data = bytearray(path.read_bytes())
+    data[sizes[0] : sizes[1]] = bytes(sizes[1] - sizes[0])
+    path.write_bytes(data)
+    table, told = found(tmp_path / "2")
+    assert table is None
+    assert "can't be read, and later ones can" in told
+    disk = Disk(tmp_path / "2", "feed")
+    disk.hold()
+    archive = Archive(disk, "all")
+    archive.recover()
+    archive.write(many[3])  # loaded anew
+    assert same(found(tmp_path / "2")[0], many[3])
+    assert len(disk.segments()) == 1
+
+
+def test_a_full_disk_leaves_what_was_durable_and_goes_on_in_a_new_segment(tmp_path: Path) -> None:
+    many = tables(4)
+    for fails in range(1, 3):  # the append, the sync
+        folder = tmp_path / str(fails)
+        disk = Troubled(folder)
+        disk.hold()
+        archive = Archive(disk, "all")
+        archive.write(many[1])
+        archive.write(many[2], [step(many[1], many[2])])
+        disk.fails_from = disk.calls + fails
+        with pytest.raises(OSError, match=r"full|broken"):
+            archive.write(many[3], [step(many[2], many[3])])
+        assert archive.durable == 2
+        for _ in range(5):
+            with pytest.raises(OSError, match=r"full|broken"):
+                archive.write(many[3], [step(many[2], many[3])])
+        assert len(disk.segments()) <= 7
+        table, _ = found(folder)
+        assert same(table, many[2]) or same(table, many[3])
+        disk.fails_from = 1 << 60
+        assert archive.write(many[4], [step(many[2], many[3]), step(many[3], many[4])]) == 4
+        assert archive.segment > 1
+        assert same(found(folder)[0], many[4])
+        assert len(disk.segments()) == 1
+
+
+def test_a_disk_that_is_full_is_not_filled_by_trying(tmp_path: Path) -> None:
+    many = tables(300)
+    disk = Troubled(tmp_path)
+    disk.hold()
+    archive = Archive(disk, "all")
+    archive.write(many[100])
+    size = sum(size for _, size in disk.segments())
+    for _ in range(10):
+        # The append of a part fails, and removing goes well again.
+        archive.fresh = True
+        disk.fails_from, disk.fails_until = disk.calls + 3, disk.calls + 4
+        with pytest.raises(OSError, match="full"):
+            archive.write(many[300])
+    assert sum(size for _, size in disk.segments()) == size
+
+
+def test_a_rewrite_that_is_interrupted_at_any_step_loses_nothing(tmp_path: Path) -> None:
+    many = tables(3)
+    for removes in (True, False):
+        for fails in range(1, 12):
+            folder = tmp_path / f"{removes}-{fails}"
+            disk = Troubled(folder)
+            disk.hold()
+            archive = Archive(disk, "all")
+            archive.write(many[1])
+            archive.write(many[2], [step(many[1], many[2])])
+            disk.release()
+            # A new start, so that the next write is a rewrite; all ends at the given call.
+            disk = Troubled(folder)
+            disk.hold()
+            archive = Archive(disk, "all")
+            assert same(archive.recover(), many[2])
+            assert archive.durable == 2
+            disk.removes, disk.fails_from = removes, fails
+            try:
+                durable = archive.write(many[3])
+            except OSError:
+                durable = 2
+            disk.release()
+            table, told = found(folder)
+            assert table is not None, told
+            assert table.number >= durable
+            assert same(table, many[table.number])
+
+
+def test_older_segments_go_once_the_new_one_and_its_name_are_durable(tmp_path: Path) -> None:
+    many = tables(3)
+    disk = Troubled(tmp_path)
+    disk.hold()
+    archive = Archive(disk, "all")
+    archive.write(many[1])
+    assert disk.order == ["begin", "append", "append", "append", "sync", "sync_folder"]
+    disk.order.clear()
+    archive.write(many[2], [step(many[1], many[2])])
+    assert disk.order == ["append", "sync"]
+    disk.order.clear()
+    archive.fresh = True
+    archive.write(many[3])
+    assert disk.order == ["begin", "append", "append", "append", "sync", "sync_folder", "remove"]
+
+
+def test_a_snapshot_whose_parts_reached_the_disk_out_of_order_gives_way_to_the_one_before(
+    tmp_path: Path,
+) -> None:
+    many = tables(3)
+    filled(tmp_path, many[:3])
+    filled(tmp_path / "other", many[3:])
+    data = bytearray(next((tmp_path / "other").glob("*.feed")).read_bytes())
+    data[20:60] = bytes(40)  # a page that was not written when all ended
+    (tmp_path / f"{2:012}.feed").write_bytes(data)
+    assert same(found(tmp_path)[0], many[2])
+
+
+def test_the_size_on_disk_is_bounded(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("thistleline.feed.archive.LOG_LEAST", 4096)
+    disk = Troubled(tmp_path)
+    disk.hold()
+    archive = Archive(disk, "all")
+    table = Table()
+    archive.write(table)
+    most = 0
+    for number in range(1, 1500):
+        items = ((f"tenant/{number % 5}", share(number), number),)
+        after = table.moved(number, items)
+        archive.write(after, [(table.number, number, items)])
+        table = after
+        if number % 50 == 0:
+            most = max(most, sum(size for _, size in disk.segments()))
+    assert most < 3 * 4096
+    assert archive.segment > 10
+    assert same(found(tmp_path)[0], table)
+
+
+def test_sixty_thousand_entries_are_written_and_read_back(tmp_path: Path) -> None:
+    table = Table().moved(
+        7, ((f"{'route' if one % 20 else 'tenant'}/{one}", share(one), 7) for one in range(60_000))
+    )
+    disk = Troubled(tmp_path)
+    disk.hold()
+    archive = Archive(disk, "all")
+    archive.write(table)
+    assert disk.calls > 40  # by parts
+    table_found, _ = found(tmp_path)
+    assert same(table_found, table)
--- /dev/null
+++ b/thistleline/feed/history.py
@@ -0,0 +1,114 @@
+"""The newest changes of a table and the digests between: what a follower goes on from. No I/O, no clock."""
+
+from collections import deque
+
+from thistleline.feed.bounds import DELTA_BOUND, HISTORY_BOUND, HISTORY_SIZE
+from thistleline.feed.messages import Delta, Kind
+from thistleline.feed.table import TENANT, Table
+
+COST = 64  # bytes of an item beside key and value
+CACHED_BOUND = 64  # deltas kept for others who stand where one began
+Items = tuple[tuple[str, bytes | None, int], ...]
+
+
+class History:
+    """`table` is the newest state. Steps lead from `base` up to it, in order; each is one change, or what
+    several came to where this one was itself brought to the newest at once."""
+
+    __slots__ = ("_cached", "_digests", "size", "steps", "table")
+
+    def __init__(self, table: Table | None = None) -> None:
+        self.table = table or Table()
+        self.steps: deque[tuple[int, int, Items, int]] = deque()
+        self.size = 0
+        self._digests: dict[int, tuple[bytes, bytes]] = {}
+        self._cached: dict[tuple[int, Kind], Delta | None] = {}
+        self._note()
+
+    def copy(self) -> "History":
+        """One that goes its own way from here."""
+        made = History(self.table)
+        made.steps, made.size = self.steps.copy(), self.size
+        made._digests, made._cached = dict(self._digests), dict(self._cached)
+        return made
+
+    def _note(self) -> None:
+        self._digests[self.table.number] = self.table.digest("wide"), self.table.digest("all")
+        self._cached.clear()
+
+    @property
+    def base(self) -> int:
+        """The least number that can be gone on from."""
+        return self.steps[0][0] if self.steps else self.table.number
+
+    def move(self, last: int, items: Items, kind: Kind = "all") -> None:
+        """To the state `last`, by what was touched since the newest. Raises ValueError for no newer one."""
+        if last <= self.table.number:
+            raise ValueError(f"{last} does not follow {self.table.number}")
+        self.take(self.table.moved(last, items, kind), items)
+
+    def take(self, table: Table, items: Items) -> None:
+        """The same, with the state made already."""
+        size = _size(items)
+        self.steps.append((self.table.number, table.number, items, size))
+        self.size += size
+        self.table = table
+        self._note()
+        while self.steps and (self.size > HISTORY_SIZE or len(self.steps) > HISTORY_BOUND):
+            first, _, _, gone = self.steps.popleft()
+            self.size -= gone
+            del self._digests[first]
+
+    def anew(self, table: Table) -> None:
+        """A state that nothing leads to."""
+        self.steps.clear()
+        self.size = 0
+        self._digests.clear()
+        self.table = table
+        self._note()
+
+    def knows(self, number: int, digest: bytes, kind: Kind) -> bool:
+        """Whether that state lies on the way to the newest one, so that a delta may lead on from it. Inside
+        of a step, where the followers of a relay that merged otherwise stand, that can't be told here: what
+        the step touched leads on from there too, and the digest at its end tells who stood elsewhere."""
+        known = self._digests.get(number)
+        if known is None:
+            return self.base < number < self.table.number
+        return known[int(kind == "all")] == digest
+
+    def digest(self, number: int, kind: Kind) -> bytes | None:
+        known = self._digests.get(number)
+        return None if known is None else known[int(kind == "all")]
+
+    def delta(self, number: int, kind: Kind) -> Delta | None:
+        """What leads from a state that is known to the newest, each key once; None where that is more than a
+        delta may hold. The same for all who stand there, made once."""
+        if (number, kind) not in self._cached:
+            while len(self._cached) >= CACHED_BOUND:
+                del self._cached[next(iter(self._cached))]
+            self._cached[number, kind] = self._merged(number, kind)
+        return self._cached[number, kind]
+
+    def _merged(self, number: int, kind: Kind) -> Delta | None:
+        newest: dict[str, tuple[bytes | None, int]] = {}
+        size = 0
+        for _, last, items, cost in reversed(self.steps):
+            if last <= number:
+                break
+            size += cost
+            if size > 8 * DELTA_BOUND:
+                return None  # guards against looking through all of a long history for each that comes back
+            for key, value, version in items:
+                newest.setdefault(key, (value, version))
+        merged = tuple((key, value, version) for key, (value, version) in newest.items())
+        forget = False
+        if kind == "wide" and _size(merged) > DELTA_BOUND:
+            # Guards against a load of tenants that would have every instance read all routes anew.
+            merged, forget = tuple(item for item in merged if not item[0].startswith(TENANT)), True
+        if _size(merged) > DELTA_BOUND:
+            return None
+        return Delta(number, self.table.number, merged, self.table.digest(kind), forget)
+
+
+def _size(items: Items) -> int:
+    return sum(len(key) + len(value or b"") + COST for key, value, _ in items)
