lab scale: slopes at four sizes or more, budgets of the size in two years, tables of a page from runs

Change: a package of measuring parts (members, council, connections, added time, policy, settings), fits by numpy, budgets and candidates as products of terms in docs/capacity/size.toml, a command that makes the page's tables from the runs, and tests that fail where a cost goes from flat to linear or from linear to square. Doctored code is caught: a task that loops over all owners, a read that compares each with each, a round for each read, a fleet that passes nothing on, and others.

Times come from a machine in use: trials. Found: SIZE_BOUND of settings (512 KB) lets through what the council's VALUE_BOUND (256 KB) refuses; a start of the module is square by stage (Row sorts all utilities once for each); members' figures told to all are 55 times beyond what two datagrams a second carry.

--- a/thistleline/cli/main.py
+++ b/thistleline/cli/main.py
@@ -11,6 +11,8 @@
 
 from thistleline.conf.schema import Faulty, read_conf
 
+LABS = ("ledger", "leases", "members", "roll", "handover", "zones", "scale")
+
 
 @click.group()
 def entry() -> None:
@@ -126,13 +128,16 @@
 
 
 @entry.command()
-@click.argument("name", type=click.Choice(["ledger", "leases", "members", "roll", "handover", "zones"]))
+@click.argument("name", type=click.Choice(LABS))
 @click.option("--quick", is_flag=True, help="A tenth, under a minute.")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "file", type=click.Path(), help="Keep the figures there.")
-def lab(name: str, quick: bool, seed: int, file: str | None) -> None:
+@click.option("--plot", type=click.Path(path_type=Path), help="Draw them there, where a lab has a plot.")
+def lab(name: str, quick: bool, seed: int, file: str | None, plot: Path | None) -> None:
     """Run a measurement: a table, one JSON line, exit code 1 if a bar is missed."""
     measurement = importlib.import_module(f"thistleline.lab.{name}")
+    if plot is not None and not hasattr(measurement, "plot"):
+        raise click.UsageError(f"lab {name} has no plot")
     told = measurement.run(quick, seed, lambda text: click.echo(text, err=True))
     for part, figures in told["figures"].items():
         click.echo(part)
@@ -144,6 +149,11 @@
     click.echo(line)
     if file is not None:
         Path(file).write_text(line + "\n")
+    if plot is not None:
+        try:
+            measurement.plot(told, plot)
+        except (OSError, ValueError) as error:
+            raise click.ClickException(f"{plot}: {error}") from error
     if not told["held"]:
         raise SystemExit(1)
 
--- /dev/null
+++ b/thistleline/lab/scale/__init__.py
@@ -0,0 +1,74 @@
+"""What each thing costs by how many there are, and what follows at the size planned for.
+
+Every part measures its slopes; what the sums spend of each budget, and which need is furthest beyond what
+carries it, follows from `docs/capacity/size.toml`. Bars rest on counts alone, so that the verdict is the same
+every time.
+"""
+
+import importlib
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from thistleline.lab.scale.budget import Measured, candidates, lines
+from thistleline.lab.scale.size import read_plan
+from thistleline.lab.scale.slopes import Part, Row, number, per_one
+
+# Modules of this package, in the order in which they are measured.
+PARTS = ("members", "council", "connections", "added", "tenants", "settings_costs")
+
+
+def sentence(row: Row) -> str:
+    """A row in a line."""
+    where = "inside" if row["inside"] else f"beyond {row['range'][1]:,}"
+    return (
+        f"{per_one(row)}, {row['shape']} (n^{row['exponent']:.2f}, residual {row['residual']:.1%}); "
+        f"{number(row['at_size'])} at {row['at']:,}, {where}"
+    )
+
+
+def settled(rows: dict[str, list[Row]]) -> dict[str, list[Row]]:
+    """Without times: a quick run has them of small sizes, and verdicts on budgets would change with them."""
+    return {part: [row for row in found if row["kind"] != "time"] for part, found in rows.items()}
+
+
+def run(quick: bool, seed: int, tell: Callable[[str], None]) -> dict[str, Any]:
+    """All figures, bars and whether they held; and the rows, for the tables of the page."""
+    rows: dict[str, list[Row]] = {}
+    figures: dict[str, Any] = {}
+    bars: dict[str, bool] = {}
+    for module in PARTS:
+        part = importlib.import_module(f"thistleline.lab.scale.{module}")
+        told: Part = part.measure(quick, seed, tell)
+        rows[part.NAME] = told["rows"]
+        figures[part.NAME] = {row["name"]: sentence(row) for row in told["rows"]} | told["figures"]
+        bars |= {f"{part.NAME}: {bar}": held for bar, held in told["bars"].items()}
+    figures = json.loads(json.dumps(figures))  # as a reader of the file finds it
+    plan = read_plan()
+    measured = Measured(plan["size"], settled(rows) if quick else rows, figures)
+    budget = lines(plan["budget"], measured)
+    figures["budget"] = {one.name: one.words() for one in budget}
+    figures["candidates"] = {one.name: one.words() for one in candidates(plan["candidate"], measured)}
+    return {
+        "figures": figures,
+        "bars": bars,
+        "held": all(bars.values()),
+        "rows": rows,
+        "sizes": plan["size"],
+    }
+
+
+def plot(told: dict[str, Any], file: Path) -> None:
+    """All slopes, a picture a part, values over sizes as logarithms. Raises OSError, ValueError."""
+    from matplotlib.figure import Figure
+
+    parts = {name: [one for one in rows if any(one["values"])] for name, rows in told["rows"].items() if rows}
+    picture = Figure(figsize=(9, 5 * len(parts)), layout="constrained")
+    for place, (name, rows) in enumerate(parts.items()):
+        axes = picture.add_subplot(len(parts), 1, place + 1, xscale="log", yscale="log", title=name)
+        for one in rows:
+            axes.plot(one["sizes"], one["values"], marker="o", linewidth=1, label=one["name"])
+        axes.set_xlabel("how many")
+        axes.legend(fontsize="x-small")
+    picture.savefig(file)
--- /dev/null
+++ b/thistleline/lab/scale/agent.py
@@ -0,0 +1,53 @@
+"""A farm agent in a process of its own, whose results say how long it had the run in hand:
+`python -m thistleline.lab.scale.agent MS`. It tells its port in a line and ends with its standard input.
+
+The result of a run is the nanoseconds from when its launch was read to when its end was sent, in digits: what
+a caller waited beyond that, the server and the ways between took.
+"""
+
+import sys
+import time
+
+import anyio
+import anyio.to_thread
+
+from thistleline.lab.farm import FarmStandIn
+
+
+class TimedFarm(FarmStandIn):
+    """Keeps no record of its runs: it is for long loads."""
+
+    def _launch(self, id: str, body: bytes) -> None:
+        if id not in self.running:
+            self.running[id] = body
+            self.group.start_soon(self._timed, id, time.monotonic_ns())
+
+    async def _timed(self, id: str, begun: int) -> None:
+        await anyio.sleep(self.takes[0] - (time.monotonic_ns() - begun) / 1e9)
+        del self.running[id]
+        self.number += 1
+        took = time.monotonic_ns() - begun
+        result = b"%d" % took
+        head = f"outcome {self.number} {id} good {took / 1e6:.3f} {len(result)}\r\n".encode()
+        notice = head + result + b"\r\n"
+        self.notices.append(notice)
+        link = self.link
+        if link is not None:
+            try:
+                async with self.sending:
+                    await link.send(notice)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                self.link = None if self.link is link else self.link
+
+
+async def serve(ms: float) -> None:
+    farm = TimedFarm(1, (ms / 1000, ms / 1000))
+    async with anyio.create_task_group() as group:
+        await farm.serve(group)
+        print(farm.port, flush=True)
+        await anyio.to_thread.run_sync(sys.stdin.read, abandon_on_cancel=True)
+        group.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    anyio.run(serve, float(sys.argv[1]))
