--- /dev/null
+++ b/tests/test_feed_service.py
@@ -0,0 +1,449 @@
+"""The feed between processes of the program: keepers, relays and subscribers, with faults between them."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from functools import partial
+from pathlib import Path
+
+import anyio
+import pytest
+
+from thistleline.conf.schema import Faulty, check
+from thistleline.feed.bounds import MESSAGE_BOUND, RING
+from thistleline.feed.client import look, propose
+from thistleline.feed.link import OUT_BOUND, Encoder, Outgoing
+from thistleline.feed.messages import (
+    AskTenants,
+    Delta,
+    Follow,
+    Have,
+    Propose,
+    Refused,
+    Want,
+    decode_source,
+    encode,
+)
+from thistleline.feed.service import LOOK_BOUND
+from thistleline.lab.feedfleet import FeedFleet
+from thistleline.lab.harness import Hung, Process, free_port
+from thistleline.lab.net import Way
+from thistleline.links.codec import Hello, Unpacker, sealed
+from thistleline.links.ends import ENDS
+
+Story = Callable[[FeedFleet], Awaitable[None]]
+
+
+def with_feed(
+    folder: Path, story: Story, keepers: int = 3, subscribers: int = 2, without: str = ""
+) -> list[str]:
+    """A story told to processes, then what the oracle finds wrong; it ends by itself after a minute."""
+
+    async def run() -> list[str]:
+        with anyio.fail_after(60):
+            async with anyio.create_task_group() as group:
+                feed = FeedFleet(folder, group, 1, keepers, without)
+                try:
+                    await feed.start(subscribers)
+                    await story(feed)
+                    await feed.settle()
+                    wrong = await feed.judge()
+                finally:
+                    feed.close()
+                    group.cancel_scope.cancel()
+        return wrong
+
+    return anyio.run(run)
+
+
+def command(feed: FeedFleet, *words: str) -> subprocess.CompletedProcess[str]:
+    at = [word for name in feed.keepers for word in ("--at", f"{name}=127.0.0.1:{feed.fleet.ports[name]}")]
+    told = [sys.executable, "-m", "thistleline", "feed", words[0], *at, *words[1:]]
+    return subprocess.run(
+        told, capture_output=True, text=True, timeout=30, env={**os.environ, "PYTHONPATH": "."}
+    )
+
+
+# ---- as an operator meets it
+
+
+def test_a_change_is_put_got_followed_exported_and_put_again(tmp_path: Path) -> None:
+    async def story(feed: FeedFleet) -> None:
+        async def run(*words: str) -> subprocess.CompletedProcess[str]:
+            return await anyio.to_thread.run_sync(partial(command, feed, *words))
+
+        two = 'common/left-0={"n": 1}', 'common/right-0={"n":1}'
+        one = await run("put", *two, "--expect", "common/left-0=0")
+        assert (one.stdout, one.returncode) == ("change 1\n", 0)
+        again = await run("put", 'common/left-0={"n":2}', "--expect", "common/left-0=0")
+        assert (again.returncode, "has version 1, 0 was expected" in again.stderr) == (1, True)
+        faulty = await run("put", 'route/x={"limit_ms": -1, "speed": 3}', "nowhere/x={}")
+        assert faulty.returncode == 1
+        for word in ("'speed'", "limit_ms", "effect is missing", "nowhere/x"):
+            assert word in faulty.stderr, word
+        told = await run("put", "common/x", "common/y={", "--expect", "z")
+        assert (told.returncode, len(told.stderr.splitlines())) == (2, 3)
+        assert (await run("put", 'common/gone={"n":1}', "--request", "once")).stdout == "change 2\n"
+        assert (await run("put", 'common/gone={"n":1}', "--request", "once")).stdout == "change 2\n"
+        assert (await run("put", "--delete", "common/gone", 'tenant/a={"share":0.5}')).stdout == "change 3\n"
+        got = await run("get", "common/left-0", "common/gone", "--json")
+        facts = [json.loads(line) for line in got.stdout.splitlines()]
+        assert [(one["value"], one["version"]) for one in facts] == [({"n": 1}, 1), (None, 0)]
+        assert got.returncode == 1
+        status = await run("status", "--json")
+        assert [json.loads(line)["holds"] for line in status.stdout.splitlines()].count(True) == 1
+        followed = await run("follow", "--until", "3", "--json")
+        last = json.loads(followed.stdout.splitlines()[-1])
+        assert (last["number"], followed.returncode) == (3, 0)
+        exported = await run("export")
+        assert [json.loads(line)["key"] for line in exported.stdout.splitlines()].count("tenant/a") == 1
+        (feed.folder / "all").write_text(exported.stdout)
+        put = await run("put", "--file", str(feed.folder / "all"), "--in-parts")
+        assert (put.stdout, put.returncode) == ("change 4\n", 0)
+        for name in [*feed.keepers, *feed.relays, *feed.subscribers]:
+            await feed.reaches(name, 4)
+        for name in [*feed.subscribers, "r2", "r1", *feed.keepers]:
+            process = feed.processes[name].process
+            assert process is not None
+            process.send_signal(signal.SIGTERM)
+            assert await anyio.to_thread.run_sync(process.wait) == 0
+            assert feed.processes[name].events()[-1]["event"] == "left"
+        assert (await run("status")).returncode == 1
+        for name in [*feed.keepers, *feed.relays, *feed.subscribers]:
+            feed.processes[name].start()
+        for name in feed.keepers:
+            await feed.reaches(name, 4)
+        # What the commands did the oracle was not told of.
+        await feed.writer()
+        items = (("common/left-0", b'{"n":1}'), ("common/right-0", b'{"n":1}'))
+        feed.oracle.made = {1: ("1", items), 2: ("once", (("common/gone", b'{"n":1}'),)),
+                            3: ("3", (("common/gone", None), ("tenant/a", b'{"share":0.5}'))),
+                            4: ("4", (*items, ("tenant/a", b'{"share":0.5}')))}  # fmt: skip
+
+    assert with_feed(tmp_path, story) == []
+
+
+def test_faulty_settings_end_with_2_and_all_faults(tmp_path: Path) -> None:
+    conf = tmp_path / "faulty.conf"
+    conf.write_text("feed role keeper\nfeed name k1\nfeed level 3\nfeed lease soon\nfeed listen 0.0.0.0:1\n"
+                    "feed keeper k2=127.0.0.1:7000\nfeed up k9=127.0.0.1:7001\n")  # fmt: skip
+    told = subprocess.run(
+        [sys.executable, "-m", "thistleline", "feed", "--conf", str(conf)],
+        capture_output=True, text=True, timeout=30, env={**os.environ, "PYTHONPATH": "."},
+    )  # fmt: skip
+    assert told.returncode == 2
+    for words in ("'soon' is no span", "no one address", "'feed folder'", "level' is 0", "own name 'k1'",
+                  "no 'feed keeper' of that name", "'council voter'"):  # fmt: skip
+        assert words in told.stderr, words
+
+
+@pytest.mark.parametrize(("text", "words"), [
+    ("feed role relay\nfeed name r\nfeed listen 127.0.0.1:1\n", ["'feed up'", "level' is 1"]),
+    ("feed role other\n", ["invalid enum value 'other'"]),
+    ("feed role relay\nfeed level 99\n", ["'feed name'", "'feed listen'", "'feed up'", "<= 15"]),
+])  # fmt: skip
+def test_what_a_part_misses_is_told_at_once(text: str, words: list[str]) -> None:
+    with pytest.raises(Faulty) as found:
+        check("x", text)
+    assert all(word in str(found.value) for word in words), str(found.value)
+    assert check("x", "feed keeper k1=127.0.0.1:1\n").feed is not None  # enough for commands
+
+
+# ---- faults of keepers
+
+
+def test_the_writer_is_killed_among_changes_and_another_goes_on(tmp_path: Path) -> None:
+    async def story(feed: FeedFleet) -> None:
+        await feed.pairs(2 * RING)
+        writer = await feed.writer()
+        async with anyio.create_task_group() as group:
+            group.start_soon(feed.pairs, 12)
+            group.start_soon(feed.pairs, 12)
+            await feed.reaches(writer, feed.oracle.newest + 4)
+            feed.processes[writer].kill()
+        assert await feed.writer() != writer
+        feed.processes[writer].start()
+        await feed.reaches(writer, feed.oracle.newest)
+
+    assert with_feed(tmp_path, story) == []
+
+
+def test_a_stopped_writer_that_goes_on_beside_the_next_changes_nothing(tmp_path: Path) -> None:
+    async def story(feed: FeedFleet) -> None:
+        await feed.pairs(4)
+        writer = await feed.writer()
+        feed.processes[writer].stop()
+        await feed.pairs(4)
+        assert await feed.writer() != writer
+        feed.processes[writer].go_on()
+        await feed.pairs(4)
+        await feed.reaches(writer, feed.oracle.newest)
+
+    assert with_feed(tmp_path, story) == []
+
+
+def test_a_keeper_whose_disk_is_lost_has_all_again_and_one_that_writes_too(tmp_path: Path) -> None:
+    async def story(feed: FeedFleet) -> None:
+        await feed.pairs(2 * RING)
+        for writes in (False, True):
+            writer = await feed.writer()
+            name = writer if writes else next(one for one in feed.keepers if one != writer)
+            feed.empty(name)
+            await feed.pairs(6)
+            feed.processes[name].start()
+            await feed.reaches(name, feed.oracle.newest)
+            await feed.pairs(RING + 2)
+
+    assert with_feed(tmp_path, story) == []
+
+
+async def one_disk_lost_while_another_sleeps(feed: FeedFleet) -> None:
+    """Of two keepers one stands still, changes go on, and the other's disk is lost."""
+    await feed.pairs(2)
+    writer = await feed.writer()
+    (other,) = [one for one in feed.keepers if one != writer]
+    await feed.reaches(other, 2)
+    feed.processes[other].stop()
+    feed.asked = [writer]
+    await feed.pairs(RING)
+    await feed.pairs(4, 0.4)
+    feed.asked = feed.keepers
+    feed.empty(writer)
+    feed.processes[other].go_on()
+    feed.processes[writer].start()
+    await feed.writer(5.0)
+
+
+def test_without_a_majority_of_keepers_changes_wait_and_none_is_lost(tmp_path: Path) -> None:
+    waited: list[str] = []
+
+    async def story(feed: FeedFleet) -> None:
+        await one_disk_lost_while_another_sleeps(feed)
+        waited.extend(feed.oracle.open)
+
+    assert with_feed(tmp_path, story, keepers=2, subscribers=1) == []
+    assert len(waited) == 4
+
+
+# ---- faults of relays and subscribers
+
+
+def test_a_relay_killed_stopped_and_cut_one_way_holds_up_nobody(tmp_path: Path) -> None:
+    async def story(feed: FeedFleet) -> None:
+        await feed.pairs(4)
+        for fault in ("kill", "stop", "deaf", "mute"):
+            for name in [*feed.relays, *feed.subscribers]:
+                await feed.reaches(name, feed.oracle.newest)
+            hurt = next(name for name in feed.relays if feed.fleet.relays["s1", name].open)
+            if fault == "kill":
+                feed.processes[hurt].kill()
+            elif fault == "stop":
+                feed.processes[hurt].stop()
+            elif fault == "deaf":  # its words come to nobody below it
+                for (_, to), relay in feed.fleet.relays.items():
+                    if to == hurt:
+                        relay.back = Way(swallow=True)
+            else:  # nor to anybody above it
+                feed.fleet.cut(hurt, back=False)
+            await feed.pairs(3)
+            if fault != "mute":  # where nobody above hears it, it serves on what it has
+                begun = time.monotonic()
+                for name in feed.subscribers:
+                    await feed.reaches(name, feed.oracle.newest, 7.0)
+                assert time.monotonic() - begun < 7.0
+            feed.fleet.heal()
+            feed.processes[hurt].go_on()
+            if not feed.processes[hurt].runs:
+                feed.processes[hurt].start()
+
+    assert with_feed(tmp_path, story) == []
+
+
+def test_late_messages_and_a_stopped_subscriber_cost_the_others_nothing(tmp_path: Path) -> None:
+    async def story(feed: FeedFleet) -> None:
+        await feed.pairs(2)
+        feed.asked = [await feed.writer()]
+        for relay in feed.fleet.relays.values():
+            relay.there = relay.back = Way(delay=0.02, jitter=0.08)
+        feed.processes["s1"].stop()
+        await feed.pairs(4)
+        await feed.reaches("s2", feed.oracle.newest)
+        feed.fleet.heal()
+        feed.processes["s1"].go_on()
+        await feed.reaches("s1", feed.oracle.newest)
+        feed.processes["s1"].kill()
+        at = feed.seen("s1")[-1]["number"]
+        feed.processes["s1"].start()
+        await feed.event("s1", "started", after=1)
+        started = [one for one in feed.processes["s1"].events() if one["event"] == "started"][-1]
+        assert 0 < started["number"] <= at  # its folder had it
+
+    assert with_feed(tmp_path, story) == []
+
+
+async def a_newer_one_goes_to_a_relay_that_is_behind(feed: FeedFleet) -> None:
+    await feed.pairs(3)
+    for name in [*feed.relays, *feed.subscribers]:
+        await feed.reaches(name, 3)
+    for (source, _), relay in feed.fleet.relays.items():
+        if source == "r2":
+            relay.cut()
+    for name in feed.subscribers:
+        feed.fleet.relays[name, "r2"].cut()
+    await feed.pairs(3)
+    for name in feed.subscribers:
+        feed.fleet.relays[name, "r2"].heal()
+        await feed.reaches(name, 6)
+    feed.processes["r1"].stop()
+    for name in feed.subscribers:
+        await feed.event(name, "dropped", after=0)
+        await feed.reaches(name, 6)
+    # Till they were at r2 and have been refused there, or were not.
+    r2 = feed.processes["r2"]
+    with anyio.fail_after(10):
+        while not any(one.get("why") == "behind" for one in r2.events()):
+            if feed.seen("s1")[-1]["number"] < 6:
+                break
+            await anyio.sleep(0.02)
+
+
+def test_who_has_more_is_no_follower_of_who_is_behind(tmp_path: Path) -> None:
+    assert with_feed(tmp_path, a_newer_one_goes_to_a_relay_that_is_behind) == []
+
+
+def test_strangers_end_their_own_connection_and_nothing_else(tmp_path: Path) -> None:
+    """A relay that has nobody above it; what comes to it is anything but a follower."""
+    port, nowhere = free_port(), free_port()
+    conf = tmp_path / "r.conf"
+    conf.write_text(f"feed role relay\nfeed name r\nfeed level 1\nfeed listen 127.0.0.1:{port}\n"
+                    f"feed up k=127.0.0.1:{nowhere}\nfeed followers 2\n")  # fmt: skip
+    hello = sealed(encode(Hello("follower", "x" * 900)))
+    follow = hello + sealed(encode(Follow("x", "wide", 0, bytes(16))))
+    words = [
+        *(b"GET / HTTP/1.1\r\n\r\n", b"\xff\xff\xff\xff", sealed(b"\x00"), hello + b"\x7f\xff\xff\xff"),
+        *(sealed(encode(Hello("voter", "a"))), sealed(encode(Hello("follower", "x", least=9, most=9)))),
+        *(hello + sealed(b"{}"), hello + sealed(encode(Have(1))), hello + sealed(encode(Want(-1, 1 << 40)))),
+        hello + sealed(encode(Follow("x" * 500, "wide", -1, b"", 99))),
+        follow + sealed(encode(AskTenants(("tenant/x",) * 500))),
+    ]
+
+    async def ends(text: bytes) -> None:
+        with suppress(*ENDS):
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(text)
+                while True:
+                    await stream.receive()
+
+    async def story() -> None:
+        with anyio.fail_after(20):
+            while await look(("127.0.0.1", port)) is None:
+                await anyio.sleep(0.02)
+            async with anyio.create_task_group() as group:
+                for text in words:
+                    group.start_soon(ends, text)
+            asked = tuple(f"common/{place}" for place in range(5000))
+            found = await look(("127.0.0.1", port), asked)
+            assert found is not None
+            assert len(found.items) == LOOK_BOUND
+            refused = Propose("x", (("common/x", b"{}"),))
+            answer = await propose({"r": ("127.0.0.1", port)}, refused, 0.3)
+            assert (answer.unknown, answer.why) == (True, "a relay writes nothing")
+            # Of three followers the third is told that there is no place.
+            open_ones, told = [], None
+            for _ in range(3):
+                open_ones.append(await anyio.connect_tcp("127.0.0.1", port))
+                await open_ones[-1].send(follow)
+                unpacker, heard = Unpacker(MESSAGE_BOUND), list[bytes]()
+                while len(heard) < 2:
+                    heard += unpacker.take(await open_ones[-1].receive())
+                told = decode_source(heard[1])
+            assert told == Refused("full")
+            for stream in open_ones:
+                await stream.aclose()
+
+    relay = Process("r", ["feed", "--conf", str(conf)], {}, tmp_path)
+    relay.start()
+    try:
+        anyio.run(story)
+        relay.signal(signal.SIGTERM)
+        assert relay.process is not None
+        assert relay.process.wait(10) == 0
+    finally:
+        relay.close()
+    assert "Traceback" not in (tmp_path / "r.log").read_text()
+
+
+def test_one_object_for_many_is_encoded_once_and_who_takes_nothing_is_let_go() -> None:
+    encoder = Encoder()
+    delta = Delta(1, 2, (("common/x", b"{}", 2),), bytes(16))
+    assert encoder.frame(delta) is encoder.frame(delta)
+    for place in range(100):
+        encoder.frame(Delta(place, place + 1, (), bytes(16)))
+    assert len(encoder.made) <= 16
+
+    async def story() -> None:
+        ended: list[bool] = []
+        out = Outgoing(lambda: ended.append(True))
+        out.put(bytes(OUT_BOUND))
+        assert not ended
+        out.put(b"x")
+        assert ended
+
+    anyio.run(story)
+
+
+# ---- faults of the council
+
+
+def test_a_council_without_a_majority_stops_changes_and_nothing_else(tmp_path: Path) -> None:
+    async def story(feed: FeedFleet) -> None:
+        fleet = feed.fleet
+        await feed.pairs(3)
+        fleet.processes[await fleet.leader()].kill()
+        await feed.pairs(3)
+        for name in fleet.names:
+            if not fleet.processes[name].runs:
+                fleet.processes[name].start()
+        await fleet.leader()
+        for name in [*feed.keepers, *feed.relays]:
+            await feed.reaches(name, feed.oracle.newest)
+        for name in fleet.names[:2]:
+            fleet.processes[name].kill()
+        (answer,) = await feed.pairs(1, 1.5)
+        assert answer.number == 0
+        for name in feed.relays:
+            found = await feed.looked(name)
+            assert found is not None
+            assert found.number == feed.oracle.newest
+        feed.processes["s1"].kill()
+        feed.processes["s1"].start()
+        await feed.reaches("s1", feed.oracle.newest)
+        for name in fleet.names[:2]:
+            fleet.processes[name].start()
+        await feed.pairs(3)
+
+    assert with_feed(tmp_path, story) == []
+
+
+# ---- the oracle can fail
+
+
+@pytest.mark.parametrize(("without", "story", "keepers", "words"), [
+    ("newer", a_newer_one_goes_to_a_relay_that_is_behind, 3, "went back from"),
+    ("majority", one_disk_lost_while_another_sleeps, 2, "no keeper writes in 5.0 s"),
+])  # fmt: skip
+def test_without_a_protection_the_oracle_finds_it(
+    tmp_path: Path, without: str, story: Story, keepers: int, words: str
+) -> None:
+    try:
+        wrong = with_feed(tmp_path, story, keepers, 1, without)
+    except* Hung as group:
+        wrong = [str(one) for one in group.exceptions]
+    assert any(words in one for one in wrong), wrong
+    for path in tmp_path.glob("*.log"):
+        assert "Traceback" not in path.read_text(), path
--- a/thistleline/cli/main.py
+++ b/thistleline/cli/main.py
@@ -125,6 +125,7 @@
 entry.add_command(Late("roll", "thistleline.cli.roll", "roll", "A change through the fleet, in stages."))
 entry.add_command(Late("settings", "thistleline.cli.roll", "settings_group", "Numbered settings."))
 entry.add_command(Late("lease", "thistleline.cli.lease", "leases", "Names that one process holds at a time."))
+entry.add_command(Late("feed", "thistleline.cli.feed", "feed", "Configuration as a change feed."))
 
 
 @entry.command()
--- a/thistleline/conf/schema.py
+++ b/thistleline/conf/schema.py
@@ -2,7 +2,7 @@
 
 import os
 from pathlib import Path
-from typing import Annotated, Any, NewType, get_args, get_origin
+from typing import Annotated, Any, Literal, NewType, get_args, get_origin
 
 import msgspec
 
@@ -73,6 +73,20 @@
     patience: Annotated[int, msgspec.Meta(ge=3, le=1_000_000)] = 240  # slots before a person is asked
 
 
+class Feed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A keeper or a relay of the change feed; without `role` how an instance or a command finds one."""
+
+    name: Annotated[str, msgspec.Meta(pattern="^[a-zA-Z0-9._-]{1,64}$")] | None = None
+    listen: Address | None = None
+    role: Literal["keeper", "relay"] | None = None
+    level: Annotated[int, msgspec.Meta(ge=0, le=15)] = 0  # of a relay; it follows what is above it
+    folder: Path | None = None  # a keeper's must outlive it
+    keeper: dict[str, Address] = {}  # all of them, name=address, a line each
+    up: dict[str, Address] = {}  # whom it follows; a keeper: another way to a keeper than its own address
+    lease: Annotated[Span, msgspec.Meta(ge=500_000_000, le=600_000_000_000)] = Span(3_000_000_000)
+    followers: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 1024
+
+
 class Conf(msgspec.Struct, frozen=True):
     ledger: Ledger | None = None
     handover: Handover | None = None
@@ -80,6 +94,7 @@
     members: Members | None = None
     steward: Steward | None = None
     conductor: Conductor | None = None
+    feed: Feed | None = None
 
 
 PARTS: dict[str, type[msgspec.Struct]] = {
@@ -89,8 +104,10 @@
     "members": Members,
     "steward": Steward,
     "conductor": Conductor,
+    "feed": Feed,
 }
-MANY = {("council", "voter"), ("council", "via"), ("members", "seed")}  # in several lines, each name=value
+# In several lines, each name=value.
+MANY = {("council", "voter"), ("council", "via"), ("members", "seed"), ("feed", "keeper"), ("feed", "up")}
 
 
 class Faulty(Exception):
@@ -153,6 +170,9 @@
             elif field.required:
                 faults.append(Fault(min(line.number for line in said.values()) if said else 0,
                                     f"{part} {field.name} is missing"))  # fmt: skip
+        if part == "feed" and "role" in values:
+            first = min(line.number for line in said.values())
+            faults += [Fault(first, reason) for reason in _feed_faults(values, said, told)]
         if not faults:
             made[part] = PARTS[part](**values)
     if faults:
@@ -160,6 +180,29 @@
     return Conf(**made)
 
 
+def _feed_faults(
+    values: dict[str, Any], said: dict[str, Line], told: dict[str, dict[str, Line]]
+) -> list[str]:
+    """What a keeper or a relay misses. What was told and can't be read is a fault of its own."""
+    role = values["role"]
+    wanted = ["name", "listen", *(("folder", "keeper") if role == "keeper" else ("up",))]
+    faults = [f"a {role} wants 'feed {name}'" for name in wanted if name not in said]
+    keepers, name = values.get("keeper", {}), values.get("name", "")
+    if role == "relay":
+        if values.get("level", 0) == 0 and ("level" not in said or "level" in values):
+            faults.append("a relay's 'feed level' is 1 or more")
+        return faults
+    if values.get("level", 0):
+        faults.append("a keeper's 'feed level' is 0")
+    if keepers and name and name not in keepers:
+        faults.append(f"no line 'feed keeper' has the keeper's own name {name!r}")
+    faults += [f"'feed up {one}': there is no 'feed keeper' of that name"
+               for one in sorted(values.get("up", {})) if one not in keepers]  # fmt: skip
+    if "voter" not in told.get("council", {}):
+        faults.append("a keeper wants lines 'council voter'")
+    return faults
+
+
 def _named(lines: list[Line], faults: list[Fault]) -> dict[str, Address]:
     found: dict[str, Address] = {}
     for line in lines:
@@ -207,6 +250,8 @@
     """What a value may be, without what is said of its bounds."""
     if typed == Address or not get_args(typed):
         return {typed}
+    if get_origin(typed) is Literal:
+        return {str}
     if get_origin(typed) is Annotated:
         return _kinds(get_args(typed)[0])
     return {kind for one in get_args(typed) for kind in _kinds(one)}
--- /dev/null
+++ b/thistleline/feed/link.py
@@ -0,0 +1,227 @@
+"""Connections of the feed, both ends: who follows (`Up`) and who serves (`Peer`). Frames as in links/codec.
+
+A reader hands over what it has read and reads on once that was taken, so what waits here of one peer is a
+piece of its stream; what waits for it is bounded, and past the bound its connection ends.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from typing import Any
+
+import anyio
+from anyio.abc import ByteStream, SocketStream, TaskGroup
+
+from thistleline.feed.bounds import MESSAGE_BOUND
+from thistleline.feed.messages import Delta, Part, decode_source, encode
+from thistleline.links.address import Address
+from thistleline.links.codec import Hello, Unpacker, common_form, sealed
+from thistleline.links.ends import ENDS, ends
+from thistleline.links.greeting import receive_hello
+
+PIECE = 1 << 18  # bytes read or handed over at once
+PATIENCE = 1.5  # s for a connection and its greeting
+STALL = 5.0  # s in which a peer takes nothing; then its connection ends
+OUT_BOUND = 4 << 20  # bytes that a peer has not taken
+ENCODED_BOUND = 16
+
+
+class Rounds:
+    """What readers brought and the pump has not taken; a reader waits for the round that takes its own."""
+
+    def __init__(self) -> None:
+        self.inbox: list[tuple[Any, ...]] = []
+        self.woken, self.round = anyio.Event(), anyio.Event()
+
+    def put(self, *told: Any) -> None:
+        self.inbox.append(told)
+        self.woken.set()
+
+    async def bring(self, told: Iterable[tuple[Any, ...]]) -> None:
+        """Returns once it was taken."""
+        self.inbox.extend(told)
+        self.woken.set()
+        await self.round.wait()
+
+    async def wait(self, span: float) -> None:
+        """Until there is something, for so many seconds at most."""
+        if not self.inbox:
+            self.woken = anyio.Event()
+            with anyio.move_on_after(max(0.0, span)):
+                await self.woken.wait()
+
+    def take(self) -> list[tuple[Any, ...]]:
+        inputs, self.inbox = self.inbox, []
+        self.round.set()
+        self.round = anyio.Event()
+        return inputs
+
+
+class Encoder:
+    """Messages as frames. One object that goes to many is encoded once."""
+
+    def __init__(self) -> None:
+        self.made: OrderedDict[int, tuple[Any, bytes]] = OrderedDict()  # the object too: its id is its own
+
+    def frame(self, message: Any) -> bytes:
+        if not isinstance(message, Delta | Part):
+            return sealed(encode(message))
+        known = self.made.get(id(message))
+        if known is not None:
+            return known[1]
+        data = sealed(encode(message))
+        self.made[id(message)] = message, data
+        if len(self.made) > ENCODED_BOUND:
+            self.made.popitem(last=False)
+        return data
+
+
+class Outgoing:
+    """What waits to be sent on one connection, in order."""
+
+    def __init__(self, end: Callable[[], None]) -> None:
+        self.waiting: deque[bytes] = deque()
+        self.size = 0
+        self.more = anyio.Event()
+        self.end = end
+        self.last = False  # nothing more comes: it ends once all is sent
+
+    def put(self, frame: bytes) -> None:
+        self.waiting.append(frame)
+        self.size += len(frame)
+        if self.size > OUT_BOUND:
+            self.end()
+        self.more.set()
+
+    async def send(self, stream: ByteStream) -> None:
+        """Until it is cancelled or the peer takes nothing for so long."""
+        while True:
+            while self.waiting:
+                pieces, size = [], 0
+                while self.waiting and size < PIECE:
+                    pieces.append(self.waiting.popleft())
+                    size += len(pieces[-1])
+                with anyio.fail_after(STALL):
+                    await stream.send(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+                self.size -= size
+            if self.last:
+                self.end()
+            self.more = anyio.Event()
+            await self.more.wait()
+
+
+class Way:
+    """One connection to who serves, from the wish to its end."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.scope = anyio.CancelScope()
+        self.out = Outgoing(self.scope.cancel)
+        self.dropped = False
+        self.why = ""
+
+    def note(self, why: str) -> None:
+        self.why = self.why or why
+
+
+class Up:
+    """The one connection of a follower: made, spoken over and dropped as its reducer asks. `rounds` gets
+    ("connected", name), ("heard", name, message), ("lost", name, why); nothing of one that was dropped."""
+
+    def __init__(
+        self, id: str, sources: dict[str, Address], group: TaskGroup, rounds: Rounds,
+        wrap: Callable[[tuple[Any, ...]], tuple[Any, ...]] = lambda told: told,
+    ) -> None:  # fmt: skip
+        self.id, self.sources, self.group, self.rounds, self.wrap = id, sources, group, rounds, wrap
+        self.way: Way | None = None
+
+    def connect(self, name: str) -> None:
+        self.drop(self.way.name if self.way is not None else "")
+        self.way = Way(name)
+        self.group.start_soon(self._hold, self.way)
+
+    def send(self, name: str, message: Any) -> None:
+        if self.way is not None and self.way.name == name:
+            self.way.out.put(sealed(encode(message)))
+
+    def drop(self, name: str) -> None:
+        if self.way is not None and self.way.name == name:
+            self.way.dropped = True
+            self.way.scope.cancel()
+            self.way = None
+
+    def _tell(self, way: Way, *told: Any) -> None:
+        if not way.dropped:
+            self.rounds.put(*self.wrap(told))
+
+    async def _hold(self, way: Way) -> None:
+        with way.scope, ends(way.note):
+            with anyio.fail_after(PATIENCE):
+                stream = await anyio.connect_tcp(*self.sources[way.name])
+            async with stream:
+                with anyio.fail_after(PATIENCE):
+                    await greet(stream, Hello("follower", self.id))
+                self._tell(way, "connected", way.name)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(way.out.send, stream)
+                    await self._read(stream, way)
+        if self.way is way:
+            self.way = None
+        self._tell(way, "lost", way.name, way.why or "it takes nothing")
+
+    async def _read(self, stream: SocketStream, way: Way) -> None:
+        unpacker = Unpacker(MESSAGE_BOUND)
+        while True:
+            heard = [decode_source(one) for one in unpacker.take(await stream.receive(PIECE))]
+            if heard and not way.dropped:
+                await self.rounds.bring(self.wrap(("heard", way.name, one)) for one in heard)
+
+
+class Peer:
+    """One connection that came in."""
+
+    def __init__(self, number: int, stream: SocketStream) -> None:
+        self.number, self.stream = number, stream
+        self.scope = anyio.CancelScope()
+        self.out = Outgoing(self.end)
+        self.id = ""
+        self.follows = False  # it has said so; else it asks something and goes
+        self.why = ""
+
+    def end(self, why: str = "it takes nothing") -> None:
+        self.why = self.why or why
+        self.scope.cancel()
+
+    def end_after_sending(self, why: str) -> None:
+        self.why = self.why or why
+        self.out.last = True
+        self.out.more.set()
+
+    def note(self, why: str) -> None:
+        self.why = self.why or why
+
+
+async def greet(stream: ByteStream, own: Hello) -> Hello:
+    """From who dials. Raises Unreadable and what ends a connection."""
+    await stream.send(sealed(encode(own)))
+    there = await receive_hello(stream)
+    common_form(own, there)
+    return there
+
+
+async def ask(address: Address, message: Any, kind: type, span: float) -> Any:
+    """One question to one that serves, on a connection of its own; an answer of that kind, or None."""
+    with anyio.move_on_after(span), suppress(*ENDS):
+        with anyio.fail_after(PATIENCE):
+            stream = await anyio.connect_tcp(*address)
+        async with stream:
+            with anyio.fail_after(PATIENCE):
+                await greet(stream, Hello("follower", ""))
+            await stream.send(sealed(encode(message)))
+            unpacker = Unpacker(MESSAGE_BOUND)
+            while True:
+                for payload in unpacker.take(await stream.receive(PIECE)):
+                    told = decode_source(payload)
+                    if isinstance(told, kind):
+                        return told
+    return None
--- /dev/null
+++ b/thistleline/feed/service.py
@@ -0,0 +1,355 @@
+"""A keeper or a relay of the feed as a program: listener, links, clock, disk, lease and council around the
+reducers. A keeper that holds the lease `feed` writes; the others follow it, relays follow what is above them.
+"""
+
+import os
+import resource
+import signal
+from collections.abc import Callable
+from contextlib import suppress
+from random import Random
+from typing import Any
+
+import anyio
+import msgspec
+from anyio.abc import SocketStream
+
+from thistleline.conf.schema import Council as CouncilConf
+from thistleline.conf.schema import Feed
+from thistleline.feed.bounds import BEAT, ID_BOUND, MESSAGE_BOUND, MS, SECOND
+from thistleline.feed.link import PIECE, Encoder, Peer, Rounds, Up
+from thistleline.feed.messages import Look, Looked, Propose, Proposed, decode_follower
+from thistleline.feed.persist import Persist
+from thistleline.feed.station import Station
+from thistleline.feed.table import Table
+from thistleline.lease.client import Council
+from thistleline.lease.holder import Hold
+from thistleline.lease.session import Keeper as Holding
+from thistleline.lease.terms import Denied, Done, Get, Got
+from thistleline.links.address import Address
+from thistleline.links.codec import Hello, Unpacker, Unreadable, common_form, sealed
+from thistleline.links.ends import ends
+from thistleline.links.greeting import receive_hello
+from thistleline.store.clock import boot_now
+
+LEASE = "feed"
+STANDSTILL = 100 * MS  # after one as long all that lies unread is read first, then the clock is heeded
+READ_FIRST = 8  # turns of the loop
+HELLO_SPAN = 2.0  # s
+IDLE_SPAN = 60.0  # s; who follows nothing and says nothing for so long is let go
+GUESTS_BOUND = 64  # connections beside the followers
+SPARE_FILES = 64  # descriptors for what else there is
+LOOK_BOUND, LOOK_SIZE = 128, MESSAGE_BOUND // 2  # keys, bytes of values in one answer
+GET_SPAN = 0.8  # s; the writer asks each second
+LEAVE_SPAN = 3.0  # s to give the lease back and to write down what waits
+
+
+class FeedService:
+    def __init__(
+        self, conf: Feed, council: CouncilConf | None, log: Callable[..., None], chance: Random | None = None
+    ) -> None:
+        """Takes the folder and reads it; blocks. Raises Held, Damaged, OSError."""
+        assert conf.name is not None
+        assert conf.listen is not None
+        self.conf, self.log, self.chance = conf, log, chance or Random(os.urandom(8))
+        self.name, self.listen = conf.name, conf.listen
+        self.voters = dict(council.voter) if council is not None and conf.role == "keeper" else {}
+        self.sources = sources_of(conf)
+        self.rounds, self.encoder = Rounds(), Encoder()
+        self.persist = Persist(conf.folder, "all", log, self._durable) if conf.folder is not None else None
+        self.station = Station(
+            self.name,
+            conf.level,
+            self.persist.table if self.persist is not None else Table(),
+            tuple(self.sources),
+            boot_now(),
+            self._spread,
+            tuple(sorted(conf.keeper)) if self.voters else (),
+            conf.followers,
+        )
+        self.peers: dict[int, Peer] = {}
+        self.count = 0
+        files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.peers_bound = max(1, min(conf.followers + GUESTS_BOUND, files - SPARE_FILES))
+        self.holding: Holding | None = None
+        self.epoch = 0  # of the lease that is held here; 0 without
+        self.leaving = False
+        self.given_back = anyio.Event()
+        self.told: dict[str, str] = {}  # what was last said of somebody
+        self.phase = ("", "")  # what was last said of itself
+
+    def _spread(self, span: int) -> int:
+        return self.chance.randrange(span + 1)
+
+    def _durable(self, number: int) -> None:
+        self.rounds.put("durable", number)
+
+    # ---- the program
+
+    async def run(self) -> None:
+        """Until SIGTERM or SIGINT. Raises OSError where it can't listen."""
+        listener = await anyio.create_tcp_listener(local_host=self.listen[0], local_port=self.listen[1])
+        table = self.station.table
+        self.log("started", id=self.name, role=self.conf.role, level=self.conf.level, number=table.number,
+                 digest=table.digest("all").hex(), listen=f"{self.listen[0]}:{self.listen[1]}",
+                 connections=self.peers_bound)  # fmt: skip
+        async with listener, anyio.create_task_group() as group:
+            self.group = group
+            self.up = Up(self.name, self.sources, group, self.rounds, lambda told: ("up", *told))
+            group.start_soon(self._until_told, group.cancel_scope)
+            group.start_soon(listener.serve, self._serve)
+            group.start_soon(self._pump)
+            if self.persist is not None:
+                group.start_soon(self.persist.run)
+            if self.voters:
+                self.council = Council(self.voters, group, self.chance)
+                group.start_soon(self._hold)
+        if self.persist is not None:
+            self.persist.close()
+        self.log("left", number=self.station.table.number)
+
+    async def _until_told(self, scope: anyio.CancelScope) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        self.log("leaving", number=self.station.table.number)
+        self.leaving = True
+        with anyio.move_on_after(LEAVE_SPAN):
+            if self.holding is not None and self.holding.hold.phase != "ended":
+                self.holding.take("release")
+                await self.given_back.wait()
+            if self.persist is not None:
+                await self.persist.flushed()
+        scope.cancel()
+
+    async def _pump(self) -> None:
+        seen = boot_now()
+        while True:
+            await self.rounds.wait((self.station.due() - boot_now()) / SECOND)
+            # Whoever stood still may have been spoken to meanwhile: that is read first.
+            turns = READ_FIRST if boot_now() - seen > STANDSTILL + BEAT else 1
+            for _ in range(turns):
+                await anyio.lowlevel.checkpoint()
+            seen = boot_now()
+            for told in self.rounds.take():
+                getattr(self, f"_on_{told[0]}")(*told[1:])
+            if self.station.due() <= boot_now():
+                self._take("elapsed")
+            self._tell_phase()
+
+    def _take(self, part: str, *told: Any) -> None:
+        for effect in self.station.take(boot_now(), part, *told):
+            self._carry_out(*effect)
+
+    # ---- inputs
+
+    def _on_peer(self, number: int, message: Any) -> None:
+        peer = self.peers.get(number)
+        if peer is None:
+            return
+        if isinstance(message, Propose):
+            for effect in self.station.propose(boot_now(), number, message):
+                self._carry_out(*effect)
+        elif isinstance(message, Look):
+            self._look(peer, message)
+        else:
+            if not peer.follows:
+                peer.follows = True
+                self._take("down", "joined", number)
+            self._take("down", "heard", number, message)
+
+    def _on_left(self, number: int) -> None:
+        self._take("down", "left", number)
+
+    def _on_up(self, *told: Any) -> None:
+        if told[0] == "lost":
+            self._say("lost", told[1], told[2])
+        self._take("up", *told)
+
+    def _on_durable(self, number: int) -> None:
+        self._take("durable", number)
+
+    def _on_lease(self, kind: str, told: Any) -> None:
+        self.epoch = told if kind == "held" else 0
+        self._take("writer", kind, told)
+
+    def _on_errand(self, epoch: int, *told: Any) -> None:
+        """What the council said; to an epoch that is over it says nothing."""
+        if epoch == self.epoch:
+            self._take("writer", *told)
+
+    # ---- effects
+
+    def _say(self, what: str, of: str, why: str) -> None:
+        """Once, till something else is to be said of the same one."""
+        if len(self.told) > 1024:
+            self.told.clear()
+        if self.told.get(of) != why:
+            self.told[of] = why
+            self.log(what, of=of, why=why)
+
+    def _carry_out(self, kind: str, *told: Any) -> None:
+        if kind == "up":
+            self.up.send(told[0], told[1])
+        elif kind == "down":
+            peer = self.peers.get(told[0])
+            if peer is not None:
+                peer.out.put(self.encoder.frame(told[1]))
+        elif kind == "connect":
+            self.up.connect(told[0])
+        elif kind == "drop":
+            self._say("dropped", told[0], told[1])
+            self.up.drop(told[0])
+        elif kind == "close":
+            peer = self.peers.get(told[0])
+            if peer is not None:
+                self._say("refused", peer.id, told[1])
+                peer.end_after_sending(told[1])
+        elif kind == "step":
+            if self.persist is not None:
+                self.persist.step(*told)
+        elif kind == "anew":
+            table = told[0]
+            if self.persist is not None:
+                self.persist.anew(table)
+            self.log("loaded", number=table.number, digest=table.digest("all").hex())
+        elif kind == "get":
+            self.group.start_soon(self._get, self.epoch, *told)
+        elif kind == "put":
+            self.group.start_soon(self._put, self.epoch, *told)
+        elif kind == "answer":
+            self._answer(*told)
+        elif kind == "release":
+            if self.holding is not None:
+                self.holding.take("release")
+        elif kind == "log":
+            self.log(told[0], **told[1])
+
+    def _tell_phase(self) -> None:
+        """Whom it follows, or that it writes: once each time that is another."""
+        station = self.station
+        phase = station.phase, station.follower.at
+        if phase != self.phase and phase[0] in ("following", "writing"):
+            self.phase = phase
+            self.log(phase[0], at=phase[1], number=station.table.number, epoch=station.told[0])
+
+    def _answer(self, number: int, told: Proposed) -> None:
+        peer = self.peers.get(number)
+        if peer is not None:
+            peer.out.put(self.encoder.frame(told))
+
+    def _look(self, peer: Peer, told: Look) -> None:
+        station, size = self.station, 0
+        items: list[tuple[str, bytes | None, int]] = []
+        for key in told.keys[:LOOK_BOUND]:
+            value, version = station.table.get(key) or (None, 0)
+            size += len(key) + len(value or b"")
+            if size > LOOK_SIZE:
+                break
+            items.append((key, value, version))
+        epoch, holds = station.told
+        answer = Looked(station.table.number, station.table.digest("all"), epoch, station.phase, holds,
+                        tuple(items), self._facts())  # fmt: skip
+        peer.out.put(self.encoder.frame(answer))
+
+    def _facts(self) -> dict[str, int]:
+        station = self.station
+        table = station.table
+        return {
+            "level": self.conf.level,
+            "followers": len(station.source.peers),
+            "wide": len(table.wide),
+            "tenants": len(table.tenants),
+            "base": station.history.base,
+            "durable": self.persist.durable if self.persist is not None else 0,
+            **(station.writer.facts() if station.writer is not None and station.holds else {}),
+        }
+
+    async def _get(self, epoch: int, slot: int, key: str) -> None:
+        """One question; the writer asks again where none is answered."""
+        answer = await self.council.surely(Get(key), GET_SPAN)
+        if isinstance(answer, Got):
+            self.rounds.put("errand", epoch, "got", slot, answer.value, answer.version)
+
+    async def _put(self, epoch: int, slot: int, put: Any) -> None:
+        answer = await self.council.ask(put)
+        if isinstance(answer, Done):
+            self.rounds.put("errand", epoch, "put_done", slot, answer.number)
+        elif isinstance(answer, Denied):
+            self.rounds.put("errand", epoch, "put_denied", slot, answer.why)
+        else:
+            self.rounds.put("errand", epoch, "put_unknown", slot)
+
+    # ---- the lease
+
+    async def _hold(self) -> None:
+        """Wants the lease as long as the program runs."""
+        while not self.leaving:
+            asker = f"{self.name}.{os.getpid()}.{os.urandom(6).hex()}"
+            hold = Hold(LEASE, asker, self.conf.lease, True, boot_now(), self._spread)
+            holding = self.holding = Holding(self.council, hold)
+            async with anyio.create_task_group() as group:
+                group.start_soon(holding.run, group)
+                await holding.decided.wait()
+                if hold.phase == "held":
+                    self.log("holds", epoch=hold.epoch)
+                    self.rounds.put("lease", "held", hold.epoch)
+                    await holding.over.wait()
+                    self.log("lost", epoch=hold.epoch, why=hold.why)
+                    self.rounds.put("lease", "lost", hold.why)
+                group.cancel_scope.cancel()
+            holding.close()
+            if not self.leaving:
+                # Who gave it back lets another have it first.
+                await anyio.sleep(self.conf.lease / SECOND * self.chance.uniform(0.3, 0.6))
+        self.given_back.set()
+
+    # ---- who comes
+
+    async def _serve(self, stream: SocketStream) -> None:
+        if len(self.peers) >= self.peers_bound:
+            self._say("refused", "who comes", "all connections are taken")
+            await anyio.aclose_forcefully(stream)
+            return
+        self.count += 1
+        peer = Peer(self.count, stream)
+        self.peers[peer.number] = peer
+        try:
+            with peer.scope, ends(peer.note):
+                async with stream:
+                    with anyio.fail_after(HELLO_SPAN):
+                        there = await receive_hello(stream)
+                        own = Hello("follower", self.name)
+                        common_form(own, there)
+                        if there.kind != "follower":
+                            raise Unreadable(f"a {there.kind} has no business here")
+                        peer.id = there.id[:ID_BOUND]
+                        await stream.send(sealed(msgspec.msgpack.encode(own)))
+                    async with anyio.create_task_group() as group:
+                        group.start_soon(peer.out.send, stream)
+                        await self._read(peer)
+        finally:
+            del self.peers[peer.number]
+            if peer.follows:
+                self.rounds.put("left", peer.number)
+
+    async def _read(self, peer: Peer) -> None:
+        unpacker = Unpacker(MESSAGE_BOUND)
+        while True:
+            with anyio.fail_after(IDLE_SPAN):
+                data = await peer.stream.receive(PIECE)
+            heard = [("peer", peer.number, decode_follower(one)) for one in unpacker.take(data)]
+            if heard:
+                await self.rounds.bring(heard)
+
+
+def sources_of(conf: Feed) -> dict[str, Address]:
+    """Whom this one may follow, in the order of the lines: of a keeper the others, by the ways told."""
+    if conf.role != "keeper":
+        return dict(conf.up)
+    return {name: conf.up.get(name, at) for name, at in conf.keeper.items() if name != conf.name}
+
+
+def run(conf: Feed, council: CouncilConf | None, log: Callable[..., None]) -> None:
+    with suppress(KeyboardInterrupt):
+        anyio.run(FeedService(conf, council, log).run)
--- /dev/null
+++ b/thistleline/feed/station.py
@@ -0,0 +1,215 @@
+"""A keeper or a relay: source, follower and writer as one reducer, as the service runs it. No I/O, no clock.
+
+Inputs:  up KIND ... (the side that follows)  down KIND ... (the side that serves)  writer KIND ...
+         durable number (its disk has the state so far)  elapsed
+Effects: (connect name)  (drop name why)  (up name Message)  (down peer Message)  (close peer why)
+         (step Table first items)  (anew Table)
+         (get slot key)  (put slot Put)  (answer ticket Proposed)  (release why)  (log event facts)
+
+`step` and `anew` say what is to be kept on disk: the state now, and what was touched since the state `first`.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from thistleline.feed.bounds import FOLLOWERS_BOUND
+from thistleline.feed.follower import Follower
+from thistleline.feed.history import History, Items
+from thistleline.feed.messages import Follow, Propose, Proposed
+from thistleline.feed.source import Source
+from thistleline.feed.table import Table
+from thistleline.feed.writer import Writer
+
+NEVER = 1 << 62
+Effects = list[tuple[Any, ...]]
+
+
+class Station:
+    __slots__ = (
+        *("id", "level", "history", "source", "follower", "writer", "way", "told", "peers", "hearing", "out"),
+        "kept",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        level: int,
+        table: Table,
+        sources: tuple[str, ...],
+        now: int,
+        spread: Callable[[int], int],
+        keepers: tuple[str, ...] = (),
+        bound: int = FOLLOWERS_BOUND,
+    ) -> None:
+        """`keepers`: the ids of all, where this is one."""
+        self.id, self.level = id, level
+        self.history = History(table)
+        self.source = Source(self.history, level, now, bound)
+        self.follower = Follower(id, "all", table, sources, now, spread, level)
+        self.writer = Writer(id, self.history, keepers, now) if keepers else None
+        self.way = "follow"  # or "quiet", or "any" while it catches up to write
+        self.told = (0, False)  # the epoch of who writes, and whether it is this one
+        self.peers: dict[str, int] = {}  # by which connection a keeper came last
+        self.hearing = 0
+        self.kept = table.number  # what `step` and `anew` have told
+        self.out: Effects = []
+
+    def copy(self) -> "Station":
+        made = Station.__new__(Station)
+        for name in self.__slots__:
+            setattr(made, name, getattr(self, name))
+        made.history, made.peers, made.out = self.history.copy(), dict(self.peers), []
+        made.source, made.follower = self.source.copy(made.history), self.follower.copy()
+        made.writer = self.writer.copy(made.history) if self.writer is not None else None
+        return made
+
+    def frozen(self) -> tuple[Any, ...]:
+        writer = self.writer.frozen() if self.writer is not None else None
+        return (
+            *(self.source.frozen(), self.follower.frozen(), writer, self.way, self.told),
+            tuple(sorted(self.peers.items())),
+        )
+
+    @property
+    def table(self) -> Table:
+        return self.history.table
+
+    @property
+    def holds(self) -> bool:
+        return self.writer is not None and self.writer.phase in ("settling", "writing")
+
+    @property
+    def phase(self) -> str:
+        if self.writer is not None and self.writer.phase != "standby":
+            return self.writer.phase
+        return self.follower.phase
+
+    def due(self) -> int:
+        writer = self.writer.due() if self.writer is not None else NEVER
+        return min(self.source.due(), self.follower.due(), writer)
+
+    def take(self, now: int, part: str, *told: Any) -> Effects:
+        if part == "up":
+            self._up(now, *told)
+        elif part == "down":
+            self._heard(now, *told)
+        elif part == "writer":
+            self._write(now, *told)
+        elif part == "durable":
+            self._up(now, "durable", *told)
+            if self.writer is not None:
+                self._write(now, "durable", self.id, *told)
+        else:
+            self._up(now, "elapsed")
+            self._down(now, "elapsed")
+            if self.writer is not None:
+                self._write(now, "elapsed")
+        self._tell(now)
+        out, self.out = self.out, []
+        return out
+
+    # ---- the three
+
+    def _up(self, now: int, *told: Any) -> None:
+        for effect in self.follower.take(now, *told):
+            kind = effect[0]
+            if kind == "send":
+                self.out.append(("up", *effect[1:]))
+            elif kind == "took":
+                self.history.take(self.follower.table, effect[1].items)
+                self._moved(now, "moved")
+            elif kind == "loaded":
+                self.history.anew(self.follower.table)
+                self._moved(now, "anew")
+            else:
+                self.out.append(effect)
+
+    def _heard(self, now: int, kind: str, peer: int, *told: Any) -> None:
+        message = told[0] if told else None
+        if self.writer is not None and isinstance(message, Follow) and self._is_keeper(message):
+            # Guards against a keeper that lost its disk and is counted for what it had.
+            self.peers[message.id] = peer
+            self._write(now, "durable", message.id, 0)
+        self.hearing = peer
+        self._down(now, kind, peer, *told)
+
+    def _is_keeper(self, told: Follow) -> bool:
+        known = self.writer is not None and told.id in self.writer.keepers
+        return known and told.kind == "all" and told.level == 0
+
+    def _down(self, now: int, *told: Any) -> None:
+        for effect in self.source.take(now, *told):
+            kind = effect[0]
+            if kind == "send":
+                self.out.append(("down", *effect[1:]))
+            elif kind == "durable":
+                # Only by its last connection: on one before there may still be word of a disk that is lost.
+                if self.writer is not None and self.peers.get(effect[1]) == self.hearing:
+                    self._write(now, *effect)
+            else:
+                self.out.append(effect)
+
+    def _write(self, now: int, *told: Any) -> None:
+        assert self.writer is not None
+        for effect in self.writer.take(now, *told):
+            kind = effect[0]
+            if kind == "moved":
+                self._moved(now, "moved")
+            elif kind == "answer":
+                self.out.append(("answer", effect[1], self._answer(effect[2])))
+            elif kind != "follow":  # what it is told by `_tell`
+                self.out.append(effect)
+
+    def _answer(self, told: Proposed) -> Proposed:
+        """Who does not write can't say whether a request was made before: it says who may."""
+        if told.number or self.holds:
+            return told
+        follower = self.follower
+        leader = follower.at if follower.welcome is not None and follower.welcome.holds else ""
+        return msgspec.structs.replace(told, unknown=True, leader=leader)
+
+    def _moved(self, now: int, how: str) -> None:
+        if how == "anew":
+            self.out.append(("anew", self.history.table))
+        else:
+            self.out.append(("step", self.history.table, self.kept, self._since(self.kept)))
+        self.kept = self.history.table.number
+        self._down(now, how)
+        if self.writer is not None and self.writer.phase == "catching_up":
+            self._write(now, "caught_up")
+
+    def _since(self, number: int) -> Items:
+        newest: dict[str, tuple[bytes | None, int]] = {}
+        for first, _, items, _ in reversed(self.history.steps):
+            if first < number:
+                break
+            for key, value, version in items:
+                newest.setdefault(key, (value, version))
+        return tuple((key, value, version) for key, (value, version) in newest.items())
+
+    def _tell(self, now: int) -> None:
+        """What one of them must know of another."""
+        writer = self.writer
+        if writer is not None:
+            way = {"standby": "follow", "catching_up": "any"}.get(writer.phase, "quiet")
+            if way != self.way:
+                self.way = way
+                if way == "quiet":
+                    self._up(now, "quiet")
+                else:
+                    self._up(now, "go", way == "any", self.history.table)
+        welcome = self.follower.welcome
+        epoch = writer.epoch if writer is not None and self.holds else welcome.epoch if welcome else 0
+        if (epoch, self.holds) != self.told:
+            self.told = epoch, self.holds
+            self._down(now, "writes", epoch, self.holds, self.level)
+
+    # ---- what is asked beside
+
+    def propose(self, now: int, ticket: Any, told: Propose) -> Effects:
+        if self.writer is not None:
+            return self.take(now, "writer", "proposed", ticket, told)
+        why = "a relay writes nothing"
+        return [("answer", ticket, Proposed(told.request[:64], why=why, unknown=True))]
--- a/thistleline/lab/member.py
+++ b/thistleline/lab/member.py
@@ -4,7 +4,9 @@
     LAB_CLOCK   {"rate": 1.2, "wall_ahead_s": 3600}: its clocks go so fast, and its wall clock is so far ahead
     LAB_DISK    a file; what stands in it holds from the next sync on: "fail", "slow" (each takes 0.7 s), or
                 nothing
-    LAB_WITHOUT a protection that is left out: "pre-vote", "drift", "clock" (the holder's own)
+    LAB_WITHOUT a protection that is left out: "pre-vote", "drift", "clock" (the holder's own); of the feed
+                "majority" (a group goes before a majority of keepers has it), "newer" (who is behind serves,
+                and an older snapshot is taken)
 """
 
 import errno
@@ -67,6 +69,35 @@
 
         setattr(holder, "right", lambda length: 10 * length)  # noqa: B010
 
+    elif left_out == "majority":
+        from thistleline.feed.writer import Writer
+
+        setattr(Writer, "_free", lambda self: True)  # noqa: B010
+    elif left_out == "newer":
+        leave_out_newer()
+
+
+def leave_out_newer() -> None:
+    from thistleline.feed.follower import Follower
+    from thistleline.feed.messages import Follow, Welcome
+    from thistleline.feed.source import Served, Source
+    from thistleline.feed.table import Table
+
+    follow, welcomed = Source._follow, Follower._welcomed
+
+    def behind(self: Source, peer: int, served: Served, told: Follow) -> str:
+        if told.number > self.history.table.number:
+            told = Follow(told.id, told.kind, 0, b"", told.level)
+        return follow(self, peer, served, told)
+
+    def older(self: Follower, told: Welcome) -> None:
+        if told.load and told.number < self.table.number:
+            self.table = Table()
+        welcomed(self, told)
+
+    setattr(Source, "_follow", behind)  # noqa: B010
+    setattr(Follower, "_welcomed", older)  # noqa: B010
+
 
 def end_with_parent() -> None:
     def wait() -> None:
@@ -86,6 +117,10 @@
         from thistleline.lab.contender import main as contend
 
         return contend(sys.argv[2])
+    if sys.argv[1:2] == ["subscriber"]:
+        from thistleline.lab.subscriber import main as follow
+
+        return follow(sys.argv[2])
     from thistleline.cli.main import main as command
 
     return int(command(sys.argv[1:]) or 0)
--- a/thistleline/lease/service.py
+++ b/thistleline/lease/service.py
@@ -11,7 +11,6 @@
 
 import anyio
 import anyio.to_thread
-import msgspec
 from anyio.abc import ByteStream, SocketStream, TaskGroup
 
 from thistleline.conf.schema import Council
@@ -32,6 +31,7 @@
     sealed,
 )
 from thistleline.links.ends import ends
+from thistleline.links.greeting import receive_hello
 from thistleline.links.link import STALL, Link
 from thistleline.store.clock import boot_now, wall_ms
 from thistleline.store.disk import Disk
@@ -45,7 +45,6 @@
 HELLO_SPAN = 2.0  # s
 INBOX_BOUND = 50_000
 CALLERS_BOUND = 16
-_hello = msgspec.msgpack.Decoder(Hello).decode
 
 
 class Guest:
@@ -220,7 +219,7 @@
 
     async def _greet(self, id: str, stream: ByteStream) -> None:
         await stream.send(sealed(encode(self._own_hello())))
-        there = await _receive_hello(stream)
+        there = await receive_hello(stream)
         common_form(self._own_hello(), there)
         if there.id != id:
             raise Unreadable(f"{there.id} is there, not {id}")
@@ -242,13 +241,15 @@
             with guest.scope, ends(partial(self._of_guest, name)):
                 async with stream:
                     with anyio.fail_after(HELLO_SPAN):
-                        hello = await _receive_hello(stream)
+                        hello = await receive_hello(stream)
                     common_form(self._own_hello(), hello)
                     await stream.send(sealed(encode(self._own_hello())))
                     if hello.kind == "voter":
                         await self._hear(stream, hello)
-                    else:
+                    elif hello.kind == "client":
                         await self._answer(name, guest)
+                    else:
+                        raise Unreadable(f"a {hello.kind} has no business here")
         finally:
             self.guests.pop(name, None)
 
@@ -305,25 +306,6 @@
             await guest.more.wait()
 
 
-async def _receive_hello(stream: ByteStream) -> Hello:
-    """The first message and nothing of the next: byte counts are asked for exactly."""
-    data = await _exactly(stream, 4)
-    length = int.from_bytes(data, "big")
-    if length > 4096:
-        raise Unreadable("it does not begin with a Hello")
-    try:
-        return _hello(await _exactly(stream, length))
-    except msgspec.MsgspecError as error:
-        raise Unreadable(f"it does not begin with a Hello: {error}") from error
-
-
-async def _exactly(stream: ByteStream, count: int) -> bytes:
-    data = b""
-    while len(data) < count:
-        data += await stream.receive(count - len(data))
-    return data
-
-
 def run(conf: Council, log: Callable[..., None]) -> None:
     with suppress(KeyboardInterrupt):
         anyio.run(VoterService(conf, log).run)
--- a/thistleline/links/codec.py
+++ b/thistleline/links/codec.py
@@ -13,7 +13,7 @@
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    kind: Literal["voter", "client"]
+    kind: Literal["voter", "client", "follower"]
     id: str
     council: str = ""
     address: str = ""  # where a voter listens: one that knows no members yet answers there
