--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -306,6 +306,15 @@
     assert known.beyond(["row p/x"])
 
 
+def test_a_figure_made_of_several_is_told_by_its_way() -> None:
+    measured = Measured({}, {}, {"feed": {"cases": {"calm": {"last_ms": 400}}, "a/b": 3}})
+    assert measured.value("figure feed/cases/calm/last_ms") == 400
+    assert measured.value("figure feed/a/b") == 3
+    for unknown in ("feed/cases/calm", "feed/cases/calm/last_ms/more", "feed/cases/storm/last_ms", "none/x"):
+        with pytest.raises(Unknown):
+            measured.value(f"figure {unknown}")
+
+
 def test_the_candidate_furthest_beyond_comes_first_and_the_unmeasured_last() -> None:
     def told(name: str, need: list[Any], carries: list[Any]) -> dict[str, Any]:
         return {"name": name, "unit": "u", "need": need, "carries": carries, "carried_by": "x", "bound": "y"}
--- /dev/null
+++ b/thistleline/lab/feedrun.py
@@ -0,0 +1,663 @@
+"""A fleet of the feed in virtual time: a writer, keepers, relays by region and hollow instances, the reducers
+that run, joined by links with delay, loss of connections, machines that stop and peers that are slow. No I/O.
+
+Hollow instances share what is equal: a state that one made from another by the same entries is the state of
+all who do the same (`Shared`), so that thousands fit into one process. What that step costs an instance is
+measured apart. An oracle that knows nothing of the reducers keeps its own list of changes and plain dicts.
+"""
+
+from bisect import bisect_right
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from heapq import heappop, heappush
+from random import Random
+from time import perf_counter_ns
+from typing import Any, ClassVar, Protocol
+
+from thistleline.feed import follower as following
+from thistleline.feed.bounds import MS, SECOND
+from thistleline.feed.follower import Follower
+from thistleline.feed.lookups import Lookups
+from thistleline.feed.messages import Change, Delta, Group, Kind, Part, Propose, Proposed, encode
+from thistleline.feed.station import Station
+from thistleline.feed.table import TENANT, Entries, Table
+from thistleline.feed.writer import LEASE, key_of
+from thistleline.lab.mutants import without
+from thistleline.lease.table import Table as Leases
+from thistleline.lease.table import data_of
+from thistleline.lease.terms import Granted, Put, Take
+from thistleline.links.codec import sealed
+
+HEAD = len(sealed(b""))
+HELLO = 60  # bytes of the first message each way (links/codec.Hello)
+NEVER = 1 << 62
+PLENTY = 10_000_000_000 / 8 / SECOND  # bytes a ns that a control machine sends at
+LINE = 1_000_000_000 / 8 / SECOND  # and an instance
+NO_ANSWER = SECOND  # until who connects to nobody gives it up
+SYNC = 5 * MS  # of a write
+KEPT = 2_000  # states shared at once
+
+Spread = Callable[[int], int]
+Effects = list[tuple[Any, ...]]
+Key = tuple[int, int, int, int, Kind, tuple[Any, ...]]
+
+
+class Shared(Table):
+    """A state whose followers share what they make of it."""
+
+    __slots__ = ()
+    made: ClassVar[dict[Key, "Shared"]] = {}
+
+    def moved(
+        self, number: int, items: Iterable[tuple[str, bytes | None, int]], kind: Kind = "all"
+    ) -> "Shared":
+        told = items if isinstance(items, tuple) else tuple(items)
+        key = (self.number, self.wide_sum, self.tenants_sum, number, kind, told)
+        found = self.made.get(key)
+        if found is None:
+            found = self.made[key] = Shared(*Table.moved(self, number, told, kind))
+            while len(self.made) > KEPT:
+                del self.made[next(iter(self.made))]
+        return found
+
+
+class Node(Protocol):
+    @property
+    def table(self) -> Table: ...
+
+    def take(self, now: int, part: str, *told: Any) -> Effects: ...
+
+    def due(self) -> int: ...
+
+
+class Instance:
+    """A hollow instance: what its look-ups answer by. Inputs and effects as of a Station."""
+
+    __slots__ = ("lookups",)
+
+    def __init__(self, id: str, table: Table, sources: tuple[str, ...], now: int, spread: Spread) -> None:
+        self.lookups = Lookups(Follower(id, "wide", table, sources, now, spread))
+
+    def copy(self) -> "Instance":
+        made = Instance.__new__(Instance)
+        made.lookups = self.lookups.copy()
+        return made
+
+    def frozen(self) -> Any:
+        return self.lookups.frozen()
+
+    @property
+    def table(self) -> Table:
+        return self.lookups.follower.table
+
+    def due(self) -> int:
+        return self.lookups.due()
+
+    def take(self, now: int, part: str, *told: Any) -> Effects:
+        out: Effects = []
+        for effect in self.lookups.take(now, *(told if part == "up" else (part, *told))):
+            if effect[0] == "send":
+                out.append(("up", *effect[1:]))
+            elif effect[0] in ("took", "loaded"):
+                out.append(("step", self.table))
+            else:
+                out.append(effect)
+        return out
+
+
+class Oracle:
+    """What was acknowledged, in order: each key's values by number. Says what is wrong with a state seen."""
+
+    def __init__(self, table: Table) -> None:
+        self.first = self.last = table.number
+        self.base = {key: value for key, value, _ in table.entries("all")}
+        self.wide = sum(not key.startswith(TENANT) for key in self.base)
+        self.told: dict[str, tuple[list[int], list[bytes | None]]] = {}
+        self.touched: list[tuple[int, str]] = []
+        self.counts = {self.first: self.wide}  # wide entries at each number
+        self.seen: dict[tuple[int, int, int], Entries] = {}
+        self.wrong = ""
+
+    def acknowledged(self, number: int, items: tuple[tuple[str, bytes | None], ...]) -> None:
+        if number != self.last + 1:
+            self.wrong = f"{number} was acknowledged after {self.last}"
+            return
+        for key, value in items:
+            if not key.startswith(TENANT):
+                self.wide += (value is not None) - (self.at(key, self.last) is not None)
+            numbers, values = self.told.setdefault(key, ([], []))
+            numbers.append(number)
+            values.append(value)
+            self.touched.append((number, key))
+        self.last = number
+        self.counts[number] = self.wide
+
+    def at(self, key: str, number: int) -> bytes | None:
+        numbers, values = self.told.get(key, ([], []))
+        place = bisect_right(numbers, number)
+        return values[place - 1] if place else self.base.get(key)
+
+    def check(self, table: Table, kind: Kind, before: int) -> None:
+        """A state that somebody holds: what was touched since `before` is looked at, all else by count."""
+        mark = (table.number, table.wide_sum, table.tenants_sum)
+        if self.seen.get(mark) is table.wide:
+            return
+        self.seen[mark] = table.wide
+        while len(self.seen) > KEPT:
+            del self.seen[next(iter(self.seen))]
+        if table.number > self.last:
+            return  # decided, its acknowledgement is on its way: looked at in the end
+        low = bisect_right(self.touched, (min(before, table.number - 20), ""))
+        for _, key in self.touched[low:]:
+            if not key.startswith(TENANT) or kind == "all":
+                found = table.get(key)
+                if (found[0] if found else None) != self.at(key, table.number):
+                    self.wrong = f"{key} at {table.number} is not what was acknowledged"
+        if len(table.wide) != self.counts[table.number]:
+            self.wrong = f"{len(table.wide)} entries at {table.number}, not {self.counts[table.number]}"
+
+    def whole(self, table: Table, kind: Kind) -> str:
+        """Of the newest state, all of it, against a plain dict."""
+        if table.number != self.last:
+            return f"it ends at {table.number}, not at {self.last}"
+        plain = dict(self.base)
+        for key, (_, values) in self.told.items():
+            value = values[-1]
+            if value is None:
+                plain.pop(key, None)
+            else:
+                plain[key] = value
+        if kind == "wide":
+            plain = {key: value for key, value in plain.items() if not key.startswith(TENANT)}
+        here = {key: value for key, value, _ in table.entries(kind)}
+        return "" if here == plain else "its entries are not what was acknowledged"
+
+
+class Link:
+    """One connection. What was sent before an end of it arrives before the end does."""
+
+    __slots__ = ("arrived", "client", "closed", "peer", "server", "silent")
+
+    def __init__(self, client: "Place", server: "Place", peer: int) -> None:
+        self.client, self.server, self.peer = client, server, peer
+        self.silent = False  # something was lost, so nothing arrives any more
+        self.closed = [False, False]  # by the client, by the server
+        self.arrived = [0, 0]  # when the last one arrives: at the client, at the server
+
+
+class Place:
+    """A process somewhere."""
+
+    __slots__ = (
+        *("name", "region", "node", "alive", "wake", "link", "peers", "rate", "free", "pace", "phase"),
+        *("got", "sent", "got_bytes", "sent_bytes", "cpu", "takes", "since", "number", "durable", "life"),
+    )
+
+    def __init__(self, name: str, region: int, node: Node, rate: float) -> None:
+        self.name, self.region, self.node, self.rate = name, region, node, rate
+        self.alive, self.wake, self.life = True, NEVER, 0
+        self.link: Link | None = None
+        self.peers: dict[int, Link] = {}
+        self.free = 0.0  # when all that was sent is out
+        self.pace = self.phase = 0  # a slow one takes what came only so often
+        self.got = self.sent = self.got_bytes = self.sent_bytes = self.cpu = self.takes = 0
+        self.since = 0  # up since
+        self.number = 0
+        self.durable: Table | None = None
+
+
+class VirtualFeed:
+    def __init__(
+        self,
+        table: Table,
+        seed: int,
+        instances: int,
+        regions: int = 10,
+        relays: int = 2,
+        keepers: int = 5,
+        timed: bool = False,
+    ) -> None:
+        """`table`: what all hold at the start; `relays` of each region; `timed`: adds up what the instances'
+        reducers take of the processor."""
+        self.chance, self.timed = Random(seed), timed
+        self.now = 0
+        self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.count = self.peers = 0
+        self.leases, self.index = Leases(), 0
+        table = Shared(*self._begun(table))
+        self.start = table
+        self.oracle = Oracle(table)
+        self.places: dict[str, Place] = {}
+        self.regions = regions
+        self.apart = [[0] * regions for _ in range(regions)]
+        for one in range(regions):
+            for other in range(one):
+                self.apart[one][other] = self.apart[other][one] = self.chance.randint(5, 120) * MS
+        self.cut: Callable[[int, int], bool] = lambda one, other: False
+        self.swallowed = 0
+        self.sizes: dict[int, tuple[Any, int]] = {}
+        self.proposals: dict[int, tuple[int, Propose]] = {}
+        self.proposed: dict[int, int] = {}  # by number, when
+        self.waits: list[int] = [0] * (table.number + 1)  # by number, when it was proposed
+        self.took: Counter[int] = Counter()  # ms until in force: how many (change, instance)
+        self.refused: list[str] = []
+        self.looked: Counter[str] = Counter()
+        self.wrong = ""
+        self.kept = [f"k{place}" for place in range(keepers)]
+        self.relays = [f"r{region}.{place}" for region in range(regions) for place in range(relays)]
+        for place, name in enumerate(self.kept):
+            others = tuple(one for one in self.kept if one != name)
+            node = Station(name, 0, table, others, self.now, self._spread, tuple(self.kept))
+            self._add(Place(name, place * regions // keepers, node, PLENTY))
+        for name in self.relays:
+            sources = self.kept[:]
+            self.chance.shuffle(sources)
+            region = int(name[1:].partition(".")[0])
+            self._add(Place(name, region, Station(name, 1, table, tuple(sources), 0, self._spread), PLENTY))
+        self.wide = Shared(*Table.moved(Table(), table.number, table.entries("wide"), "wide"))
+        self.instances = [f"i{place}" for place in range(instances)]
+        for place, name in enumerate(self.instances):
+            region = place % regions
+            self._add(Place(name, region, self._instance(name, region, self.wide), LINE))
+
+    def _instance(self, name: str, region: int, table: Table) -> Node:
+        near = [one for one in self.relays if one.startswith(f"r{region}.")]
+        self.chance.shuffle(near)
+        far = [one for one in self.relays if one not in near]
+        return Instance(
+            name, table, (*near, *self.chance.sample(far, min(2, len(far)))), self.now, self._spread
+        )
+
+    def _begun(self, table: Table) -> Table:
+        """One change further, which the council's first record holds: who writes goes on from there."""
+        change = Change(table.number + 1, "first", (("common/first", b"{}"),))
+        made = table.applied(change)
+        value = encode(Group(0, (change,), table.digest("all"), made.digest("all")))
+        self.leases.apply(0, data_of(Put(key_of(0), value, 0)))
+        return made
+
+    def _spread(self, span: int) -> int:
+        return self.chance.randrange(span) if span > 0 else 0
+
+    def _add(self, place: Place) -> None:
+        self.places[place.name] = place
+        place.number = place.node.table.number
+        place.durable = place.node.table
+        self._arm(place)
+
+    # ---- time
+
+    def at(self, when: int, do: Callable[..., None], *told: Any) -> None:
+        self.count += 1
+        heappush(self.queue, (when, self.count, do, told))
+
+    def run(self, until: int, over: Callable[[], bool] = lambda: False) -> bool:
+        """Whether it was `over` by then; asked every 10 ms of virtual time."""
+        queue, asked = self.queue, 0
+        with without(((following, "Table", Shared),)):
+            while queue and queue[0][0] <= until:
+                if queue[0][0] >= asked:
+                    asked = queue[0][0] + 10 * MS
+                    if over():
+                        return True
+                self.now, _, do, told = heappop(queue)
+                do(*told)
+        self.now = max(self.now, until)
+        return over()
+
+    def _arm(self, place: Place) -> None:
+        due = place.node.due()
+        if due < place.wake:
+            place.wake = max(due, self.now + 1)
+            # One that stood still reads first what came meanwhile, then it judges the time.
+            when = self._paced(place, place.wake) + 1 if place.pace else place.wake
+            self.at(when, self._wakes, place, place.wake, place.life)
+
+    def _wakes(self, place: Place, when: int, life: int) -> None:
+        if place.wake != when or place.life != life or not place.alive:
+            return
+        place.wake = NEVER
+        if place.node.due() <= self.now:
+            self.put(place, "elapsed")
+        else:
+            self._arm(place)
+
+    def _paced(self, place: Place, when: int) -> int:
+        """When a slow one comes to it: it works only so often, and then reads all there is first."""
+        if not place.pace:
+            return when
+        return when + (place.phase - when) % place.pace
+
+    # ---- what a process is told, and what it asks for
+
+    def put(self, place: Place, *told: Any) -> None:
+        if not place.alive:
+            return
+        place.takes += 1
+        if self.timed and place.name[0] == "i":
+            began = perf_counter_ns()
+            effects = place.node.take(self.now, *told)
+            place.cpu += perf_counter_ns() - began
+        else:
+            effects = place.node.take(self.now, *told)
+        for effect in effects:
+            getattr(self, f"_{effect[0]}")(place, *effect[1:])
+        table = place.node.table
+        if table.number != place.number:
+            self._stands(place, table)
+        self._arm(place)
+
+    def _stands(self, place: Place, table: Table) -> None:
+        before, place.number = place.number, table.number
+        if table.number < before:
+            self.wrong = self.wrong or f"{place.name} goes back from {before} to {table.number}"
+        hollow = place.name[0] == "i"
+        self.oracle.check(table, "wide" if hollow else "all", before)
+        if hollow:
+            for number in range(max(before + 1, self.start.number + 1), table.number + 1):
+                # A group is pushed when it is acknowledged, so its changes have their times by now.
+                since = max(self.proposed.get(number, self.now), place.since)
+                self.took[(self.now - since) // MS] += 1
+
+    def _connect(self, place: Place, name: str) -> None:
+        old = place.link
+        if old is not None:
+            self._end(old, 0)
+        server = self.places.get(name)
+        if server is None or not server.alive or self.cut(place.region, server.region):
+            self.at(self._paced(place, self.now + NO_ANSWER), self._unheard, place, name, place.life)
+            return
+        way = self._way(place, server)
+        self.at(self.now + way, self._joined, place, server, place.life, server.life)
+
+    def _unheard(self, place: Place, name: str, life: int) -> None:
+        if place.life == life:
+            self.put(place, "up", "lost", name, "no answer")
+
+    def _joined(self, place: Place, server: Place, life: int, server_life: int) -> None:
+        if server.life != server_life or not server.alive or place.life != life or not place.alive:
+            return
+        self.peers += 1
+        link = Link(place, server, self.peers)
+        server.peers[link.peer] = link
+        self._count(place, server, HELLO + HEAD)
+        self._count(server, place, HELLO + HEAD)
+        link.arrived = [self.now, self.now]
+        place.link = link
+        self.put(server, "down", "joined", link.peer)
+        when = self._paced(place, self.now + self._way(place, server))
+        link.arrived[0] = max(link.arrived[0], when)
+        self.at(link.arrived[0], self._connected, link, life)
+
+    def _connected(self, link: Link, life: int) -> None:
+        if not link.closed[0] and link.client.life == life:
+            self.put(link.client, "up", "connected", link.server.name)
+
+    def _way(self, one: Place, other: Place) -> int:
+        least = self.apart[one.region][other.region] or MS // 2
+        return least + int(least * self.chance.random() / 5)
+
+    def _up(self, place: Place, name: str, message: Any) -> None:
+        link = place.link
+        if link is not None and link.server.name == name:
+            self._carry(link, 1, message)
+
+    def _down(self, place: Place, peer: int, message: Any) -> None:
+        link = place.peers.get(peer)
+        if link is not None:
+            self._carry(link, 0, message)
+
+    def _size(self, message: Any) -> int:
+        if not isinstance(message, Delta | Part):
+            return len(encode(message)) + HEAD
+        known = self.sizes.get(id(message))
+        if known is None:
+            known = self.sizes[id(message)] = message, len(encode(message)) + HEAD
+            while len(self.sizes) > KEPT:
+                del self.sizes[next(iter(self.sizes))]
+        return known[1]
+
+    def _count(self, source: Place, to: Place, size: int) -> None:
+        source.sent += 1
+        source.sent_bytes += size
+        to.got += 1
+        to.got_bytes += size
+
+    def _carry(self, link: Link, way: int, message: Any) -> None:
+        source, to = (link.client, link.server) if way else (link.server, link.client)
+        size = self._size(message)
+        source.sent += 1
+        source.sent_bytes += size
+        if link.silent or self.cut(source.region, to.region):
+            link.silent = True  # once something of a connection is lost nothing after it arrives
+            self.swallowed += 1
+            return
+        source.free = max(source.free, float(self.now)) + size / source.rate
+        when = max(int(source.free) + self._way(source, to), link.arrived[way])
+        link.arrived[way] = when
+        self.at(self._paced(to, when), self._arrives, link, way, message, size)
+
+    def _arrives(self, link: Link, way: int, message: Any, size: int) -> None:
+        to = link.server if way else link.client
+        if link.closed[way] or link.silent or not to.alive:
+            return
+        if self.cut(link.client.region, link.server.region):
+            link.silent = True
+            return
+        to.got += 1
+        to.got_bytes += size
+        if way:
+            self.put(to, "down", "heard", link.peer, message)
+        else:
+            self.put(to, "up", "heard", link.server.name, message)
+
+    def _end(self, link: Link, by: int) -> None:
+        """By the client, 0, or the server; the other hears of it unless the way is cut."""
+        link.closed[by] = True
+        if by:
+            link.server.peers.pop(link.peer, None)
+        elif link.client.link is link:
+            link.client.link = None
+        if link.closed[1 - by] or link.silent or self.cut(link.client.region, link.server.region):
+            return
+        when = max(self.now + self._way(link.client, link.server), link.arrived[1 - by])
+        if by:
+            self.at(self._paced(link.client, when), self._lost, link)
+        else:
+            self.at(when, self._left, link)
+
+    def _lost(self, link: Link) -> None:
+        if not link.closed[0] and link.client.link is link:
+            link.closed[0] = True
+            link.client.link = None
+            self.put(link.client, "up", "lost", link.server.name, "it ended")
+
+    def _left(self, link: Link) -> None:
+        if not link.closed[1] and link.server.peers.pop(link.peer, None) is not None:
+            link.closed[1] = True
+            self.put(link.server, "down", "left", link.peer)
+
+    def _drop(self, place: Place, name: str, why: str) -> None:
+        if place.link is not None and place.link.server.name == name:
+            self._end(place.link, 0)
+
+    def _close(self, place: Place, peer: int, why: str) -> None:
+        if peer in place.peers:
+            self._end(place.peers[peer], 1)
+
+    def _step(self, place: Place, table: Table, *_: Any) -> None:
+        self.at(self.now + SYNC, self._written, place, table, place.life)
+
+    def _anew(self, place: Place, table: Table) -> None:
+        self._step(place, table)
+
+    def _loaded(self, place: Place) -> None:
+        pass
+
+    def _log(self, place: Place, event: str, facts: dict[str, Any]) -> None:
+        if event == "gives_up":
+            self.wrong = self.wrong or f"{place.name} gives up: {facts}"
+
+    def _written(self, place: Place, table: Table, life: int) -> None:
+        if place.life == life and place.alive:
+            place.durable = table
+            self.put(place, "durable", table.number)
+
+    # ---- the council
+
+    def _trip(self) -> int:
+        """A confirmed write or read: there, to a majority, back."""
+        return self.chance.randint(30, 120) * MS
+
+    def _get(self, place: Place, slot: int, key: str) -> None:
+        got = self.leases.get(key)
+        self.at(self.now + self._trip(), self.put, place, "writer", "got", slot, got.value, got.version)
+
+    def _put(self, place: Place, slot: int, put: Put) -> None:
+        self.at(self.now + self._trip() // 2, self._decide, place, slot, put)
+
+    def _decide(self, place: Place, slot: int, put: Put) -> None:
+        self.index += 1
+        answer = self.leases.apply(self.index, data_of(put))
+        when = self.now + self._trip() // 2
+        if hasattr(answer, "why"):
+            self.at(when, self.put, place, "writer", "put_denied", slot, answer.why)
+        else:
+            self.at(when, self.put, place, "writer", "put_done", slot, put.version + 1)
+
+    def _release(self, place: Place, why: str) -> None:
+        self.wrong = self.wrong or f"{place.name} gives the lease back: {why}"
+
+    def hold(self, name: str) -> None:
+        """The lease is this keeper's."""
+        self.index += 1
+        answer = self.leases.apply(self.index, data_of(Take(LEASE, name, 10 * SECOND, True)))
+        assert isinstance(answer, Granted)
+        self.put(self.places[name], "writer", "held", answer.epoch)
+
+    # ---- changes
+
+    def propose(self, propose: Propose) -> None:
+        """By somebody in a region of its own, now, at the keeper that writes."""
+        self.count += 1
+        ticket = self.count
+        self.proposals[ticket] = self.now, propose
+        writer = self.writer()
+        way = self.apart[self.chance.randrange(self.regions)][writer.region] or MS
+        self.at(self.now + way, self._proposed, writer, ticket, propose)
+
+    def _proposed(self, writer: Place, ticket: int, propose: Propose) -> None:
+        self.put(writer, "writer", "proposed", ticket, propose)
+
+    def writer(self) -> Place:
+        for name in self.kept:
+            place = self.places[name]
+            if place.alive and isinstance(place.node, Station) and place.node.holds:
+                return place
+        raise AssertionError("nobody writes")
+
+    def _answer(self, place: Place, ticket: int, answer: Proposed) -> None:
+        when, propose = self.proposals.pop(ticket)
+        if not answer.number:
+            self.refused.append(answer.why)
+            return
+        self.proposed[answer.number] = when
+        self.oracle.acknowledged(answer.number, propose.items)
+
+    def look(self, name: str, key: str) -> None:
+        """What an instance knows of a key must be what counts at the number it holds."""
+        place = self.places[name]
+        if not place.alive or not isinstance(place.node, Instance):
+            return
+        found = place.node.lookups.look(key)
+        self.looked["known" if found.known else "not known yet"] += 1
+        if (
+            found.known
+            and place.number <= self.oracle.last
+            and found.value != self.oracle.at(key, place.number)
+        ):
+            self.wrong = self.wrong or f"{name} says of {key} at {place.number} what does not count there"
+        self._arm(place)
+
+    # ---- faults
+
+    def kill(self, name: str) -> None:
+        """The machine is gone: nobody is told."""
+        place = self.places[name]
+        place.alive = False
+        place.life += 1
+        for link in [*place.peers.values(), *([place.link] if place.link else [])]:
+            link.silent = True
+        place.peers = {}
+
+    def restart(self, name: str, cold: bool) -> None:
+        """An instance is there again, from nothing or from what was durable."""
+        place = self.places[name]
+        self.kill(name)
+        if place.link is not None:
+            place.link.closed[0] = True
+            self.at(
+                self.now + MS, self._left, place.link
+            )  # its machine says that it knows no such connection
+        table = Shared() if cold or place.durable is None else place.durable
+        place.link, place.wake = None, NEVER
+        place.alive, place.since = True, self.now
+        place.node = self._instance(name, place.region, table)
+        place.number = table.number
+        self._arm(place)
+
+    def slow(self, name: str, pace: int) -> None:
+        """From now on it takes what came only each `pace` ns."""
+        place = self.places[name]
+        place.pace, place.phase = pace, self.chance.randrange(max(1, pace))
+        # A mark of its own: what was to wake it before would come before what lies unread.
+        place.wake = max(place.node.due(), self.now) + 1
+        self.at(self._paced(place, place.wake) + 1, self._wakes, place, place.wake, place.life)
+
+    # ---- what came out
+
+    def behind(self) -> int:
+        """Processes that live and don't stand where the newest acknowledged change is."""
+        last = self.oracle.last
+        return sum(one.alive and one.number != last for one in self.places.values())
+
+    def settle(self, patience: int = 60 * SECOND) -> int:
+        """ns until all stand at the newest; raises no error where they never do: see `faults`."""
+        began = self.now
+        self.run(self.now + patience, lambda: not self.proposals and not self.behind())
+        return self.now - began
+
+    def faults(self) -> list[str]:
+        """All that is wrong, at the end."""
+        found = [one for one in (self.wrong, self.oracle.wrong) if one]
+        digests: dict[Kind, set[bytes]] = defaultdict(set)
+        told: dict[int, Any] = {}
+        for place in self.places.values():
+            if place.alive:
+                kind: Kind = "wide" if place.name[0] == "i" else "all"
+                table = place.node.table
+                digests[kind].add(table.digest(kind))
+                if id(table.wide) not in told:
+                    told[id(table.wide)] = table
+                    wrong = self.oracle.whole(table, kind)
+                    if wrong:
+                        found.append(f"{place.name}: {wrong}")
+        found += [f"{len(some)} digests of {kind}" for kind, some in digests.items() if len(some) > 1]
+        return found
+
+    def totals(self, names: Iterable[str]) -> list[tuple[int, int, int, int, int, int]]:
+        """Of each: messages got and sent, bytes got and sent, inputs, ns of processor."""
+        return [
+            (one.got, one.sent, one.got_bytes, one.sent_bytes, one.takes, one.cpu)
+            for one in map(self.places.__getitem__, names)
+        ]
+
+
+def quantile(counts: Counter[int], part: float) -> int:
+    """Of how often each value was met; 0 of nothing."""
+    total, seen = sum(counts.values()), 0
+    for value in sorted(counts):
+        seen += counts[value]
+        if seen >= part * total:
+            return value
+    return 0
--- a/thistleline/lab/scale/budget.py
+++ b/thistleline/lab/scale/budget.py
@@ -7,7 +7,7 @@
     code MODULE.NAME   a bound in the code
     row PART/NAME      a slope carried to the size; loops in seconds of CPU
     slope PART/NAME    a one more of it, in the same units
-    figure PART/NAME   another figure of a run
+    figure PART/NAME   another figure of a run; of one made of several PART/NAME/WHICH
 
 A term that begins with `per ` divides. A product without terms, or with one that no run has, is not measured.
 """
@@ -51,13 +51,21 @@
             value = row["at_size"] if kind == "row" else row["slope"]
             return value * (self.figures[part]["loop_s"] if row["unit"] == "loops" else 1.0)
         if kind == "figure":
-            part, _, name = what.partition("/")
-            told = self.figures.get(part, {}).get(name)
+            told = self._figure(what)
             if not isinstance(told, int | float):
                 raise Unknown(what)
             return float(told)
         raise ValueError(f"{term!r} is no term")
 
+    def _figure(self, what: str) -> Any:
+        part, _, name = what.partition("/")
+        told: Any = self.figures.get(part, {})
+        if name in told:
+            return told[name]
+        for step in name.split("/"):  # of a figure that is made of several
+            told = told.get(step) if isinstance(told, dict) else None
+        return told
+
     def product(self, terms: list[Any]) -> float | None:
         """Nothing where it is not measured."""
         if not terms:
--- /dev/null
+++ b/thistleline/lab/scale/feed.py
@@ -0,0 +1,569 @@
+"""The change feed by the size of the fleet and of the table: messages and bytes of each role, time until a
+change is in force, memory of a table; beside what carries configuration today, a record that all ask for.
+
+Whole fleets in virtual time (lab/feedrun.py) with the reducers that run. Counts are the same for the same
+seed. How routes, tenants and their changes look is set here (`MIX`, the values), it was not measured.
+"""
+
+import gc
+import os
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from multiprocessing import get_context
+from random import Random
+from time import process_time
+from typing import Any
+
+from thistleline.feed.bounds import MS, SECOND
+from thistleline.feed.messages import Propose
+from thistleline.feed.table import Table
+from thistleline.lab.feedmutants import prove
+from thistleline.lab.feedrun import VirtualFeed, quantile
+from thistleline.lab.scale.size import size
+from thistleline.lab.scale.slopes import Part, Row, Shape, judge, loop_cpu, memory_of, row, steps_of
+from thistleline.steward.service import POLL
+
+NAME = "feed"
+DAY = 86_400
+MIX = (("tenant", 0.55), ("route", 0.4), ("routes", 0.04), ("common", 0.01))  # what a change touches, taken
+FEW = (2, 20)  # routes of one change that touches several
+LOOKS = 0.05  # tenants an instance begins to look up in a second
+HOT = 50
+SLOW = (SECOND, 2500 * MS)  # a slow instance comes to its messages so often
+QUICK_SIZES = [60, 200, 600, 2000]
+ENTRIES = [1_000, 3_000, 10_000, 30_000]
+
+WRITER = "feed: messages at the writer for a change"
+WRITER_BYTES = "feed: bytes at the writer for a change"
+RELAY = "feed: messages of a relay a second"
+RELAY_BYTES = "feed: bytes of a relay a second"
+INSTANCE = "feed: messages of an instance a second"
+INSTANCE_BYTES = "feed: bytes of an instance a second"
+COLD_BYTES = "feed: bytes of a cold start by route"
+STEPS = "feed: steps to take a change by route held"
+WIDE_MEMORY = "feed: bytes of an instance's table by route"
+PLAIN_MEMORY = "feed: bytes of a plain dict by route"
+ALL_MEMORY = "feed: bytes of a relay's table by tenant"
+READS = "today: reads of the council a second"
+
+PROMISED: dict[str, Shape] = {
+    WRITER: "flat",
+    WRITER_BYTES: "flat",
+    RELAY: "linear",
+    RELAY_BYTES: "linear",
+    INSTANCE: "flat",
+    INSTANCE_BYTES: "flat",
+    COLD_BYTES: "linear",
+    STEPS: "flat",
+}
+Tell = Callable[[str], None]
+
+
+# ---- a table and its changes
+
+
+def route_key(place: int) -> str:
+    return f"route/svc{place % 7400:04}.method-{place}"
+
+
+def tenant_key(place: int) -> str:
+    return f"tenant/t{place:07}"
+
+
+def route_value(chance: Random) -> bytes:
+    effect = chance.choice(("restartable", "fingerprinted", "side-effecting"))
+    limit, utility = chance.randint(20, 9000), chance.randint(1, 999) / 100
+    return b'{"limit_ms":%d,"due_ms":%d,"effect":"%s","utility":%.2f,"late_share":0.%d}' % (
+        limit, limit // 2 + 1, effect.encode(), utility, chance.randint(1, 9)
+    )  # fmt: skip
+
+
+def tenant_value(chance: Random) -> bytes:
+    return b'{"share":0.%06d,"allowance_per_s":%d}' % (chance.randrange(10**6), chance.randrange(1, 5000))
+
+
+def made_table(routes: int, tenants: int, seed: int) -> Table:
+    chance = Random(seed)
+
+    def entries() -> Any:
+        yield "common/tenant", b'{"share":0.0001}', 1
+        for place in range(routes):
+            yield route_key(place), route_value(chance), 1
+        for place in range(tenants):
+            yield tenant_key(place), tenant_value(chance), 1
+
+    return Table().moved(1, entries())
+
+
+class Load:
+    """Changes to a fleet, drawn from a seed."""
+
+    def __init__(self, fleet: VirtualFeed, routes: int, tenants: int, seed: int) -> None:
+        self.fleet, self.routes, self.tenants = fleet, routes, tenants
+        self.chance, self.count = Random(seed), 0
+        self.looks = Random(seed + 1)  # guards against fleets of other sizes getting other changes
+
+    def tenant(self, chance: Random) -> str:
+        """One of a few every other time, so that what is held changes."""
+        return tenant_key(chance.randrange(min(self.tenants, chance.choice((HOT, self.tenants)))))
+
+    def change(self) -> Propose:
+        chance, self.count = self.chance, self.count + 1
+        (kind,) = chance.choices([kind for kind, _ in MIX], [part for _, part in MIX])
+        items: dict[str, bytes | None] = {}
+        if kind == "tenant":
+            items[self.tenant(chance)] = tenant_value(chance)
+        elif kind == "common":
+            items["common/tenant"] = b'{"share":0.%06d}' % chance.randrange(10**6)
+        else:
+            many = 1 if kind == "route" else chance.randint(*FEW)
+            for place in chance.sample(range(self.routes), min(many, self.routes)):
+                items[route_key(place)] = route_value(chance) if chance.random() < 0.97 else None
+        return Propose(f"change-{self.count}", tuple(items.items()))
+
+    def plan(self, rate: float, seconds: float) -> None:
+        """So many changes a second, from now on; and what the instances look up meanwhile."""
+        fleet = self.fleet
+        when, end = float(fleet.now), fleet.now + seconds * SECOND
+        while (when := when + self.chance.expovariate(rate) * SECOND) < end:
+            fleet.at(int(when), fleet.propose, self.change())
+        rate = LOOKS * len(fleet.instances)
+        when = float(fleet.now)
+        while (when := when + self.looks.expovariate(rate) * SECOND) < end:
+            key, name = self.tenant(self.looks), self.looks.choice(fleet.instances)
+            for later in range(3):  # asked for, then known, then perhaps another value
+                fleet.at(int(when) + later * 1500 * MS, fleet.look, name, key)
+
+
+def case(
+    load: Load, rate: float, seconds: float, fault: Callable[[], None] | None = None, after: float = 0.25
+) -> dict[str, Any]:
+    """Changes for so long, with a fault after this part of it; then until all stand at the newest."""
+    fleet = load.fleet
+    fleet.took.clear()
+    first, began = fleet.oracle.last, fleet.now
+    names = fleet.instances
+    before, above = fleet.totals(names), fleet.totals(fleet.relays)
+    writer = fleet.writer().name
+    (wrote,) = fleet.totals([writer])
+    load.plan(rate, seconds)
+    if fault is not None:
+        fleet.run(began + int(seconds * after * SECOND))
+        fault()
+    fleet.run(began + int(seconds * SECOND))
+    spent = (fleet.now - began) / SECOND
+    bytes_each = [
+        (new[2] + new[3] - old[2] - old[3]) / spent
+        for old, new in zip(before, fleet.totals(names), strict=True)
+    ]
+    told_each = [
+        (new[0] + new[1] - old[0] - old[1]) / spent
+        for old, new in zip(before, fleet.totals(names), strict=True)
+    ]
+    relay_bytes = [
+        (new[2] + new[3] - old[2] - old[3]) / spent
+        for old, new in zip(above, fleet.totals(fleet.relays), strict=True)
+    ]
+    relay_told = [
+        (new[0] + new[1] - old[0] - old[1]) / spent
+        for old, new in zip(above, fleet.totals(fleet.relays), strict=True)
+    ]
+    cpu = sum(new[5] - old[5] for old, new in zip(before, fleet.totals(names), strict=True))
+    (written,) = fleet.totals([writer])
+    settled = fleet.settle()
+    changes = fleet.oracle.last - first
+    return {
+        "changes": changes,
+        "middle_ms": quantile(fleet.took, 0.5),
+        "of_99_in_100_ms": quantile(fleet.took, 0.99),
+        "last_ms": max(fleet.took, default=0),
+        "counted": sum(fleet.took.values()),
+        "settled_s": round(settled / SECOND, 2),
+        "behind": fleet.behind(),
+        "instance_bytes_s": round(sum(bytes_each) / len(bytes_each), 1),
+        "instance_bytes_s_most": round(max(bytes_each), 1),
+        "instance_messages_s": round(sum(told_each) / len(told_each), 3),
+        "instance_cpu_share": cpu / SECOND / spent / len(names),
+        "relay_bytes_s": round(sum(relay_bytes) / len(relay_bytes), 1),
+        "relay_bytes_s_most": round(max(relay_bytes), 1),
+        "relay_messages_s": round(sum(relay_told) / len(relay_told), 2),
+        "writer_messages_change": round((written[0] + written[1] - wrote[0] - wrote[1]) / max(1, changes), 2),
+        "writer_bytes_change": round((written[2] + written[3] - wrote[2] - wrote[3]) / max(1, changes), 1),
+    }
+
+
+# ---- faults
+
+
+def relay_dies(fleet: VirtualFeed) -> None:
+    fleet.kill(fleet.relays[0])
+
+
+def rack_returns(fleet: VirtualFeed, many: int, dead: int) -> Callable[[], None]:
+    """So many of one region are gone, and there again by what they had on disk after `dead` ns."""
+    names = [one for one in fleet.instances if fleet.places[one].region == 0][:many]
+
+    def fault() -> None:
+        for name in names:
+            fleet.kill(name)
+            fleet.at(fleet.now + dead + fleet.chance.randrange(SECOND), fleet.restart, name, False)
+
+    return fault
+
+
+def zone_returns(fleet: VirtualFeed, many: int) -> Callable[[], None]:
+    """So many of one region come up with nothing on disk, within two seconds."""
+    names = [one for one in fleet.instances if fleet.places[one].region == fleet.regions - 1][:many]
+
+    def fault() -> None:
+        for name in names:
+            fleet.kill(name)
+            fleet.at(fleet.now + SECOND + fleet.chance.randrange(2 * SECOND), fleet.restart, name, True)
+
+    return fault
+
+
+def some_slow(fleet: VirtualFeed) -> list[str]:
+    names = fleet.chance.sample(fleet.instances, max(1, len(fleet.instances) // 100))
+    for name in names:
+        fleet.slow(name, fleet.chance.randint(*SLOW))
+    return names
+
+
+def split(load: Load, changes: int, rate: float) -> dict[str, Any]:
+    """The regions lose each other, the writer is with a majority of the keepers. What an hour changes comes
+    within less: what has to be caught up with depends on the changes, not on the time."""
+    fleet = load.fleet
+    half = range(fleet.regions - fleet.regions // 2, fleet.regions)
+    away = [one.name for one in fleet.places.values() if one.region in half and one.name[0] == "i"]
+    above = [one.name for one in fleet.places.values() if one.region in half and one.name[0] != "i"]
+    fleet.cut = lambda one, other: (one in half) != (other in half)
+    first = fleet.oracle.last
+    load.plan(rate, changes / rate)
+    fleet.run(fleet.now + int(changes / rate * SECOND) + 5 * SECOND)
+    stood = {fleet.places[name].number for name in away}
+    fleet.cut = lambda one, other: False
+    fleet.took.clear()
+    healed, newest = fleet.now, fleet.oracle.last
+    before, higher = fleet.totals(away), fleet.totals(above)
+    load.plan(changes / 3600, 10)
+    caught = [False]
+
+    def over() -> bool:
+        caught[0] = all(one.number >= newest for one in fleet.places.values() if one.alive)
+        return caught[0]
+
+    fleet.run(fleet.now + 120 * SECOND, over)
+    took = fleet.now - healed
+    each = [new[2] + new[3] - old[2] - old[3] for old, new in zip(before, fleet.totals(away), strict=True)]
+    higher_each = [
+        new[2] + new[3] - old[2] - old[3] for old, new in zip(higher, fleet.totals(above), strict=True)
+    ]
+    fleet.run(max(fleet.now, healed + 10 * SECOND))
+    fleet.settle()
+    return {
+        "changes": newest - first,
+        "states_of_the_cut_side": len(stood),
+        "caught_up": caught[0],
+        "caught_up_s": round(took / SECOND, 2),
+        "bytes_an_instance": round(sum(each) / len(each)),
+        "bytes_an_instance_most": max(each),
+        "bytes_a_relay_or_keeper": round(sum(higher_each) / max(1, len(higher_each))),
+    }
+
+
+# ---- by the fleet
+
+
+def fleets(seed: int, quick: bool, tell: Tell) -> tuple[list[Row], dict[str, Any], dict[str, bool]]:
+    """The same changes to fleets of four sizes, with as many relays."""
+    routes, tenants, rate, seconds = 300, 300, 5.0, 6.0
+    found: list[dict[str, Any]] = []
+    faults: list[str] = []
+    for many in QUICK_SIZES:
+        fleet = VirtualFeed(made_table(routes, tenants, seed), seed, many, regions=2, relays=2, keepers=3)
+        begin(fleet)
+        one = case(Load(fleet, routes, tenants, seed), rate, seconds)
+        faults += fleet.faults()
+        tell(f"feed: {many} instances: {one}")
+        found.append(one)
+
+    def of(name: str, unit: str, what: str, at: str = "instances", parts: int = 1) -> Row:
+        sizes = [many // parts for many in QUICK_SIZES]
+        per = "follower" if parts > 1 else "instance"
+        there = size(at) if parts == 1 else size("instances") // 20
+        return row(
+            name,
+            "count",
+            unit,
+            per,
+            sizes,
+            [one[what] for one in found],
+            there,
+            note=f"{rate:g} changes a second",
+        )
+
+    rows = [
+        of(WRITER, "messages", "writer_messages_change"),
+        of(WRITER_BYTES, "bytes", "writer_bytes_change"),
+        of(RELAY, "messages", "relay_messages_s", parts=4),
+        of(RELAY_BYTES, "bytes", "relay_bytes_s", parts=4),
+        of(INSTANCE, "messages", "instance_messages_s"),
+        of(INSTANCE_BYTES, "bytes", "instance_bytes_s"),
+        row(READS, "count", "reads", "instance", QUICK_SIZES, [many / POLL for many in QUICK_SIZES],
+            size("instances"), note="by the constant of steward/service.py, no run"),
+    ]  # fmt: skip
+    return (
+        rows,
+        {"fleets": dict(zip(map(str, QUICK_SIZES), found, strict=True))},
+        {
+            f"feed: all hold the same, up to {QUICK_SIZES[-1]} instances": not faults,
+            "feed: last in force under 7 s by the fleet": max(one["last_ms"] for one in found)
+            < size("in_force_s") * 1000,
+        },
+    )
+
+
+def begin(fleet: VirtualFeed) -> None:
+    """All joined, somebody writes."""
+    fleet.hold(fleet.kept[0])
+    fleet.run(10 * SECOND)
+
+
+CASES = (
+    "calm",
+    "ten times",
+    "a relay dies",
+    "a rack returns",
+    "a zone returns cold",
+    "one in 100 slow",
+    "split",
+)
+
+
+def cases(
+    table: Table, seed: int, instances: int, shape: dict[str, int], names: tuple[str, ...], span: float,
+    rack: int, zone: int, changes: int, tell: Tell, timed: bool = False,
+) -> tuple[dict[str, Any], list[str]]:  # fmt: skip
+    """Each of these on one fleet, one after the other; and all faults that were found."""
+    routes, tenants = len(table.wide) - 1, len(table.tenants)
+    fleet = VirtualFeed(table, seed, instances, timed=timed, **shape)
+    begin(fleet)
+    load = Load(fleet, routes, tenants, seed)
+    day = size("changes_day") / DAY
+    found: dict[str, Any] = {}
+    for name in names:
+        slow: list[str] = []
+        began = process_time()
+        if name == "calm":
+            told = case(load, day, max(span, 10))
+        elif name == "ten times":
+            told = case(load, 10 * day, span)
+        elif name == "a relay dies":
+            told = case(load, 10 * day, span, lambda: relay_dies(fleet))
+        elif name == "a rack returns":
+            told = case(load, 10 * day, span, rack_returns(fleet, rack, int(span / 4 * SECOND)))
+        elif name == "a zone returns cold":
+            told = case(load, 10 * day, span, zone_returns(fleet, zone))
+        elif name == "one in 100 slow":
+            slow = some_slow(fleet)
+            told = case(load, 10 * day, span)
+        else:
+            told = split(load, changes, changes / 30)
+        for one in slow:
+            fleet.slow(one, 0)
+        told["cpu_s_of_this_run"] = round(process_time() - began, 1)
+        found[name] = told
+        tell(f"feed: {name}: {told}")
+    found["refused"] = len(fleet.refused)
+    found["looked"] = dict(fleet.looked)
+    return found, fleet.faults() + [f"refused: {why}" for why in fleet.refused[:3]]
+
+
+def case_bars(found: dict[str, Any], faults: list[str]) -> dict[str, bool]:
+    bound, most = size("in_force_s") * 1000, size("instance_bytes_s")
+    bars = {
+        f"feed: last in force under 7 s, {name}": one["last_ms"] < bound
+        and not one["behind"]
+        and one["counted"] > 0
+        for name, one in found.items()
+        if name in CASES and name != "split"
+    }
+    if "split" in found:
+        bars["feed: all caught up under 7 s after a split"] = (
+            found["split"]["caught_up"] and found["split"]["caught_up_s"] * 1000 < bound
+        )
+    for name in ("calm", "ten times"):
+        if name in found:
+            bars[f"feed: an instance under {most} bytes a second, {name}"] = (
+                found[name]["instance_bytes_s_most"] < most
+            )
+    bars["feed: all end at the same digest, no number back, nothing half seen, nothing lost"] = not faults
+    return bars
+
+
+# ---- by the table
+
+
+Told = list[tuple[str, bytes]]
+
+
+def _fresh(told: Told) -> Iterator[tuple[str, bytes, int]]:
+    """Strings and bytes of its own, as they come in."""
+    return ((key[:1] + key[1:], value[:1] + value[1:], 1) for key, value in told)
+
+
+def _state(told: Told) -> Table:
+    return Table().moved(1, _fresh(told))
+
+
+def _plain(told: Told) -> dict[str, tuple[bytes, int]]:
+    return {key: (value, version) for key, value, version in _fresh(told)}
+
+
+def tables(seed: int, sizes: list[int]) -> tuple[list[Row], dict[str, Any]]:
+    """Memory of tables, steps of a change, bytes of a start from nothing."""
+    wide, plain, tenants, steps, cold = [], [], [], [], []
+    for many in sizes:
+        told = [(route_key(place), route_value(Random(place))) for place in range(many)]
+        keys = [(tenant_key(place), tenant_value(Random(place))) for place in range(many)]
+        wide.append(memory_of(partial(_state, told))[0])
+        plain.append(memory_of(partial(_plain, told))[0])
+        tenants.append(memory_of(partial(_state, keys))[0])
+        table = _state(told)
+        items = ((route_key(many // 2), route_value(Random(1)), 2),)
+        steps.append(steps_of(partial(table.moved, 2, items)))
+        cold.append(cold_bytes(table, seed))
+    at = size("routes")
+    rows = [
+        row(WIDE_MEMORY, "memory", "bytes", "route", sizes, wide, at, note="keys and values with it"),
+        row(
+            PLAIN_MEMORY,
+            "memory",
+            "bytes",
+            "route",
+            sizes,
+            plain,
+            at,
+            note="the same in a dict that is no state",
+        ),
+        row(ALL_MEMORY, "memory", "bytes", "tenant", sizes, tenants, size("tenants")),
+        row(
+            STEPS,
+            "count",
+            "steps",
+            "route",
+            sizes,
+            steps,
+            at,
+            note="bytecode; of the map in C nothing is seen",
+        ),
+        row(COLD_BYTES, "count", "bytes", "route", sizes, cold, at),
+    ]
+    return rows, {}
+
+
+def _resident() -> int:
+    """Bytes of this process in memory."""
+    with open("/proc/self/statm", "rb") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def _resident_of(make: Callable[[Told], Any], told: Told) -> int:
+    gc.collect()
+    before = _resident()
+    made = make(told)
+    gc.collect()
+    after = _resident()
+    del made
+    return after - before
+
+
+def own_table(routes: int) -> dict[str, Any]:
+    """What one instance's table of the size takes, as Python counts it and as the system does, in a process
+    apart each; and a plain dict of the same entries."""
+    told = [(route_key(place), route_value(Random(place))) for place in range(routes)]
+    found: dict[str, Any] = {"routes": routes}
+    for name, make in (("table", _state), ("plain dict", _plain)):
+        found[f"{name}: bytes"] = memory_of(partial(make, told))[0]
+        with ProcessPoolExecutor(1, get_context("spawn")) as pool:
+            found[f"{name}: resident bytes"] = pool.submit(_resident_of, make, told).result()
+    return found
+
+
+def cold_bytes(table: Table, seed: int) -> int:
+    """What one instance gets and sends that comes up with nothing."""
+    fleet = VirtualFeed(table, seed, 1, regions=1, relays=1, keepers=1)
+    begin(fleet)
+    name = fleet.instances[0]
+    fleet.restart(name, True)
+    before = fleet.places[name].got_bytes + fleet.places[name].sent_bytes
+    fleet.run(fleet.now + 30 * SECOND, lambda: fleet.places[name].number == fleet.oracle.last)
+    assert fleet.places[name].number == fleet.oracle.last
+    return fleet.places[name].got_bytes + fleet.places[name].sent_bytes - before
+
+
+def apply_costs(table: Table, repeats: int = 2000) -> dict[str, Any]:
+    """Processor time to take a change of one route: with the persistent map, and with a dict that has to be
+    copied so that whoever looks sees one state. Times in reference loops of this run, with the seconds."""
+    loop = loop_cpu()
+    keys = [route_key(place) for place in range(0, len(table.wide) - 1, max(1, len(table.wide) // 50))]
+    one = table
+    began = process_time()
+    for place in range(repeats):
+        one = one.moved(one.number + 1, ((keys[place % len(keys)], b'{"limit_ms":1}', one.number + 1),))
+    persistent = (process_time() - began) / repeats
+    plain: dict[str, tuple[bytes, int]] = dict(table.wide.items())
+    copies = max(5, repeats // 100)
+    began = process_time()
+    for place in range(copies):
+        plain = dict(plain)
+        plain[keys[place % len(keys)]] = (b"{}", place)
+    copied = (process_time() - began) / copies
+    return {
+        "entries": len(table.wide),
+        "change_in_the_map_us": round(persistent * 1e6, 1),
+        "change_by_a_copied_dict_us": round(copied * 1e6, 1),
+        "copy_to_map": round(copied / persistent, 1),
+        "change_in_the_map_loops": persistent / loop,
+    }
+
+
+def today(instances: int, table: Table) -> dict[str, Any]:
+    """What is there today, by its constants: a record that each steward reads anew each time."""
+    carried = sum(len(key) + len(value) for key, value, _ in table.entries("all"))
+    reads = instances / POLL
+    return {
+        "reads_of_the_council_s": round(reads),
+        "bytes_of_the_record": carried,
+        "bytes_s_an_instance_if_it_reads_all_each_time": round(carried / POLL),
+        "bytes_s_an_instance_if_only_after_a_change": round(carried * size("changes_day") / DAY),
+    }
+
+
+def measure(quick: bool, seed: int, tell: Tell) -> Part:
+    tell("feed: tables")
+    rows, figures = tables(seed, ENTRIES)
+    tell("feed: fleets by their size")
+    more, found, bars = fleets(seed, quick, tell)
+    rows += more
+    figures |= found
+    if quick:
+        table = made_table(1_000, 2_000, seed)
+        shape = {"regions": 4, "relays": 2, "keepers": 3}
+        told, faults = cases(table, seed, 200, shape, CASES, 6, 8, 20, 300, tell)
+    else:
+        figures["own table"] = own_table(size("routes"))
+        table = made_table(size("routes"), size("tenants"), seed)
+        shape = {"regions": size("regions"), "relays": 2, "keepers": 5}
+        told, faults = cases(
+            table, seed, size("instances"), shape, CASES, 60, size("rack"), size("zone"),
+            size("changes_day") // 24, tell, timed=True,
+        )  # fmt: skip
+    figures |= {"cases": told, "faults": faults, "today": today(size("instances"), table)}
+    figures["costs of a change"] = apply_costs(made_table(size("routes"), 1, seed))
+    figures["explored"], good, caught = prove(1_000 if quick else 50_000, tell)
+    bars |= {"feed: explored, nothing wrong": good, "feed: each protection left out is found": caught}
+    bars |= judge(rows, PROMISED) | case_bars(told, faults)
+    return {"rows": rows, "figures": figures, "bars": bars}
