--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -460,6 +460,12 @@
     assert [one["name"] for one in rows["p"]] == ["x"]
 
 
+@pytest.mark.parametrize(("lab", "part"), [("scale", "nonsense"), ("zones", "members")])
+def test_a_lab_without_that_part_says_so(lab: str, part: str) -> None:
+    told = CliRunner().invoke(entry, ["lab", lab, "--quick", "--part", part])
+    assert (told.exit_code, f"has no part {part}" in told.output) == (2, True)
+
+
 def test_a_lab_without_a_plot_says_so_and_measures_nothing(tmp_path: Path) -> None:
     told = CliRunner().invoke(entry, ["lab", "members", "--quick", "--plot", str(tmp_path / "x.png")])
     assert told.exit_code == 2
--- a/thistleline/cli/feed.py
+++ b/thistleline/cli/feed.py
@@ -16,6 +16,7 @@
 from thistleline.feed.bounds import CHANGE_BOUND, ITEMS_BOUND
 from thistleline.feed.client import FeedClient, look_each, propose, snapshot
 from thistleline.feed.messages import Item, Looked, Propose
+from thistleline.feed.table import MADE
 from thistleline.links.address import Address, read_address
 
 SPAN = click.FloatRange(0.1, 3600.0)
@@ -274,6 +275,8 @@
         raise click.ClickException(f"it is not here in {span:g} s")
     out = sys.stdout.buffer
     for key, value, version in table.entries("all"):
+        if key.startswith(MADE):
+            continue  # what the writer keeps of requests is nothing to put
         head = orjson.dumps({"key": key, "version": version})[:-1]
         out.write(head + b',"value":' + value + b"}\n")
     click.echo(f"number {table.number}, digest {table.digest('all').hex()}", err=True)
--- a/thistleline/cli/main.py
+++ b/thistleline/cli/main.py
@@ -133,13 +133,21 @@
 @click.option("--quick", is_flag=True, help="A tenth, under a minute.")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "file", type=click.Path(), help="Keep the figures there.")
+@click.option("--part", "parts", multiple=True, help="These parts alone, where a lab has parts.")
 @click.option("--plot", type=click.Path(path_type=Path), help="Draw them there, where a lab has a plot.")
-def lab(name: str, quick: bool, seed: int, file: str | None, plot: Path | None) -> None:
+def lab(
+    name: str, quick: bool, seed: int, file: str | None, parts: tuple[str, ...], plot: Path | None
+) -> None:
     """Run a measurement: a table, one JSON line, exit code 1 if a bar is missed."""
     measurement = importlib.import_module(f"thistleline.lab.{name}")
     if plot is not None and not hasattr(measurement, "plot"):
         raise click.UsageError(f"lab {name} has no plot")
-    told = measurement.run(quick, seed, lambda text: click.echo(text, err=True))
+    unknown = [one for one in parts if one not in getattr(measurement, "PARTS", ())]
+    if unknown:
+        known = ", ".join(getattr(measurement, "PARTS", ())) or "none"
+        raise click.UsageError(f"lab {name} has no part {', '.join(unknown)}; there are: {known}")
+    more = {"parts": parts} if parts else {}
+    told = measurement.run(quick, seed, lambda text: click.echo(text, err=True), **more)
     for part, figures in told["figures"].items():
         click.echo(part)
         for figure, value in figures.items() if isinstance(figures, dict) else (("", figures),):
--- a/thistleline/feed/archive.py
+++ b/thistleline/feed/archive.py
@@ -25,7 +25,7 @@
 from thistleline.feed.bounds import PART_SIZE
 from thistleline.feed.history import COST, Items
 from thistleline.feed.messages import Kind
-from thistleline.feed.table import TENANT, Table
+from thistleline.feed.table import APART, Table
 from thistleline.store.disk import Disk
 from thistleline.store.frames import Damaged, frames, seal
 
@@ -174,7 +174,7 @@
 
     def _of_kind(self, items: Items) -> Items:
         return (
-            items if self.kind == "all" else tuple(item for item in items if not item[0].startswith(TENANT))
+            items if self.kind == "all" else tuple(item for item in items if not item[0].startswith(APART))
         )
 
     def _rewrite(self, table: Table) -> None:
--- a/thistleline/feed/bounds.py
+++ b/thistleline/feed/bounds.py
@@ -7,6 +7,7 @@
 REQUEST_BOUND, ID_BOUND = 64, 64  # characters
 GROUP_BOUND = 64 * 1024  # bytes of changes written to the council at once
 RING = 16  # records of the council that hold the newest groups; an older one goes once it is kept elsewhere
+MADE_SLOTS = 4096  # newest requests that are remembered, so that none is made a second time
 PROPOSED_BOUND = 4096  # changes that wait to be written; past it who asks is refused
 HISTORY_BOUND, HISTORY_SIZE = 100_000, 32 << 20  # changes kept to go on from, and bytes of them
 DELTA_BOUND = 256 * 1024  # bytes of one delta; more to catch up with is a snapshot
--- a/thistleline/feed/follower.py
+++ b/thistleline/feed/follower.py
@@ -128,8 +128,8 @@
         number = min(number, self.table.number)
         if number > self.durable:
             self.durable = number
-            if self.phase in ("loading", "following"):
-                self._have()
+            if self.kind == "all" and self.phase in ("loading", "following"):
+                self._have()  # of the others nobody counts it
 
     def _elapsed(self) -> None:
         if self.now < self.due():
--- a/thistleline/feed/source.py
+++ b/thistleline/feed/source.py
@@ -273,7 +273,7 @@
             self._send(peer, delta)
         else:
             self.ready[peer] = None
-        if served.asked:
+        if served.asked and self._newest(served):
             self._tell(peer, served)
 
     def _load(self, peer: int, served: Served) -> None:
--- a/thistleline/feed/table.py
+++ b/thistleline/feed/table.py
@@ -1,8 +1,10 @@
 """The keyed table of the feed: one state, never changed once made. No I/O, no clock.
 
 Keys have a section before the first slash: `route/...`, `common/...` and others that every follower holds,
-and `tenant/...`, of which an instance holds what it uses. Entries are in persistent maps, so that a state is
-one reference: whoever looks sees all of a change or nothing; a snapshot is the state it was begun on.
+and `tenant/...`, of which an instance holds what it uses. `made/SLOT` holds the request of the newest change
+whose number falls on that slot: the last requests are part of the state, so that whoever writes next knows
+them; no instance holds those. Entries are in persistent maps, so that a state is one reference: whoever looks
+sees all of a change or nothing; a snapshot is the state it was begun on.
 
 The digest of a state is the sum of its entries' hashes (128 bits), so that a change costs what it touches. It
 finds what was lost, doubled or mixed up on the way; it is no guard against somebody who means harm.
@@ -16,7 +18,8 @@
 
 from thistleline.feed.messages import Change, Kind
 
-TENANT = "tenant/"
+TENANT, MADE = "tenant/", "made/"
+APART = (TENANT, MADE)  # sections that not every follower holds
 _MASK = (1 << 128) - 1
 Entry = tuple[bytes, int]  # value, version
 Entries = Map[str, Entry]
@@ -42,7 +45,7 @@
         return (sums & _MASK).to_bytes(16, "big")
 
     def get(self, key: str) -> Entry | None:
-        return (self.tenants if key.startswith(TENANT) else self.wide).get(key)
+        return (self.tenants if key.startswith(APART) else self.wide).get(key)
 
     def version(self, key: str) -> int:
         found = self.get(key)
@@ -71,7 +74,7 @@
         maps = [self.wide.mutate(), self.tenants.mutate()]
         sums = [self.wide_sum, self.tenants_sum]
         for key, value, version in items:
-            place = int(key.startswith(TENANT))
+            place = int(key.startswith(APART))
             if place and kind == "wide":
                 continue
             known = maps[place].get(key)
--- a/thistleline/feed/writer.py
+++ b/thistleline/feed/writer.py
@@ -22,7 +22,7 @@
 
 from thistleline.feed.bounds import (
     GROUP_BOUND,
-    HISTORY_BOUND,
+    MADE_SLOTS,
     MS,
     PROPOSED_BOUND,
     REQUEST_BOUND,
@@ -33,7 +33,7 @@
 from thistleline.feed.check import fault
 from thistleline.feed.history import History, Items
 from thistleline.feed.messages import Change, Group, Propose, Proposed, decode_group, encode
-from thistleline.feed.table import Table
+from thistleline.feed.table import MADE, Table
 from thistleline.lease.terms import Put
 
 LEASE = "feed"
@@ -51,6 +51,11 @@
     return f"{LEASE}/{slot}"
 
 
+def made_key(number: int) -> str:
+    """Where the request of that change is kept."""
+    return f"{MADE}{number % MADE_SLOTS}"
+
+
 class Waiting(NamedTuple):
     """A change in the line. `table`: the state with all up to it."""
 
@@ -285,9 +290,7 @@
                 steps.append((table, _touched(changes)))
         for table, items in steps:
             self.history.take(table, items)
-        for group in self.chain:
-            for change in group.changes:
-                self._remember(change)
+        self._recall()
         self.chain, self.ahead = (), self.history.table
         self.phase, self.ask_at = "writing", FAR
         self._log("writes", number=table.number, steps=len(steps))
@@ -295,10 +298,17 @@
             self.effects.append(("moved",))
         self._look_at_ring()
 
+    def _recall(self) -> None:
+        """The requests that are made, as the table has them. Guards against one that is asked again past a
+        change of writer, however many groups ago it was made, being made a second time."""
+        found = (self.history.table.get(made_key(slot)) for slot in range(MADE_SLOTS))
+        known = sorted((version, value.decode()) for value, version in filter(None, found))
+        self.requests = {request: number for number, request in known}
+
     def _remember(self, change: Change) -> None:
         self.requests.pop(change.request, None)
         self.requests[change.request] = change.number
-        while len(self.requests) > HISTORY_BOUND:
+        while len(self.requests) > MADE_SLOTS:
             del self.requests[next(iter(self.requests))]
 
     # ---- proposals
@@ -342,7 +352,8 @@
             self.tickets[request] += (ticket,)
             return
         self.tickets[request] = (ticket,)
-        change = Change(self.ahead.number + 1, request, propose.items)
+        number = self.ahead.number + 1
+        change = Change(number, request, (*propose.items, (made_key(number), request.encode())))
         self.ahead = self.ahead.applied(change)
         size = len(encode(change))
         self.line.append(Waiting(change, self.ahead, size))
--- a/thistleline/lab/feedfleet.py
+++ b/thistleline/lab/feedfleet.py
@@ -13,6 +13,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from thistleline.feed.bounds import MADE_SLOTS
 from thistleline.feed.client import look, propose, snapshot
 from thistleline.feed.messages import Item, Looked, Propose, Proposed
 from thistleline.feed.table import Table
@@ -37,6 +38,7 @@
 
     def __init__(self) -> None:
         self.made: dict[int, tuple[str, tuple[Item, ...]]] = {}
+        self.numbers: dict[str, int] = {}  # by request
         self.open: dict[str, Propose] = {}  # of which it is not known whether they were made
         self.refused: list[str] = []
         self.wrong: list[str] = []
@@ -47,6 +49,9 @@
             known = self.made.setdefault(answer.number, (asked.request, asked.items))
             if known[0] != asked.request:
                 self.wrong.append(f"number {answer.number} is of {known[0]} and of {asked.request}")
+            first = self.numbers.setdefault(asked.request, answer.number)
+            if first != answer.number:
+                self.wrong.append(f"{asked.request} was made twice, as {first} and as {answer.number}")
         elif answer.unknown:
             self.open[asked.request] = asked
         else:
@@ -64,6 +69,7 @@
                 held.pop(key, None)
                 if value is not None:
                     held[key] = value, number
+            held[f"made/{number % MADE_SLOTS}"] = self.made[number][0].encode(), number
         return held
 
     def judge_table(self, name: str, table: Table) -> None:
@@ -213,6 +219,16 @@
             await anyio.sleep(0.02)
         raise Hung(f"{name} stands at {at} and not at {number} after {span} s")
 
+    async def kept(self, writer: str, number: int, span: float = PATIENCE) -> None:
+        """Till the writer knows that a majority of the keepers has the change on disk."""
+        until = time.monotonic() + span
+        while time.monotonic() < until:
+            found = await self.looked(writer)
+            if found is not None and found.facts.get("kept", 0) >= number:
+                return
+            await anyio.sleep(0.02)
+        raise Hung(f"{writer} does not know in {span} s that {number} is kept")
+
     async def event(self, name: str, event: str, span: float = PATIENCE, after: int = 0) -> None:
         """Till its log tells of it more often than `after`."""
         until = time.monotonic() + span
