--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -16,7 +16,7 @@
 
 from thistleline.conf.schema import Council as CouncilConf
 from thistleline.conf.schema import Feed
-from thistleline.feed.bounds import BEAT, ID_BOUND, MESSAGE_BOUND, MS, SECOND
+from thistleline.feed.bounds import BEAT, ID_BOUND, MADE_SLOTS, MESSAGE_BOUND, MS, SECOND
 from thistleline.feed.link import PIECE, Encoder, Peer, Rounds, Up
 from thistleline.feed.messages import Look, Looked, Propose, Proposed, decode_follower
 from thistleline.feed.persist import Persist
@@ -259,7 +259,7 @@
             "level": self.conf.level,
             "followers": len(station.source.peers),
             "wide": len(table.wide),
-            "tenants": len(table.tenants),
+            "tenants": max(0, len(table.tenants) - min(table.number, MADE_SLOTS)),
             "base": station.history.base,
             "durable": self.persist.durable if self.persist is not None else 0,
             **(station.writer.facts() if station.writer is not None and station.holds else {}),
--- a/thistleline/lab/scale/page.py
+++ b/thistleline/lab/scale/page.py
@@ -83,6 +83,41 @@
     ))  # fmt: skip
 
 
+def figure_tables(part: str, figures: dict[str, Any]) -> dict[str, str]:
+    """`PART/NAME` for each figure that is made of several, a line each where these are made of several too,
+    which are tables of their own besides; and `PART/WORD` for all figures `WORD: ...` that are one number."""
+    found: dict[str, str] = {}
+    words: dict[str, list[tuple[str, str]]] = {}
+    for name, value in figures.items():
+        if isinstance(value, dict) and value:
+            found[f"{part}/{name}"] = _figure_table(value)
+            found |= figure_tables(f"{part}/{name}", value)
+        elif isinstance(value, int | float) and ": " in name:
+            word, _, what = name.partition(": ")
+            words.setdefault(word, []).append((what.replace("_", " "), amount_of(value)))
+    return found | {f"{part}/{word}": text(("what", "figure"), told) for word, told in words.items()}
+
+
+def _figure_table(told: dict[str, Any]) -> str:
+    inner = [one for one in told.values() if isinstance(one, dict)]
+    heads = list(dict.fromkeys(name for one in inner for name in one))
+    rows = [
+        (name, *(amount_of(one.get(head, "")) for head in heads))
+        for name, one in told.items()
+        if isinstance(one, dict)
+    ]
+    if not rows:
+        plain = ((name.replace("_", " "), amount_of(one)) for name, one in told.items())
+        return text(("what", "figure"), plain)
+    return text(("", *(head.replace("_", " ") for head in heads)), rows)
+
+
+def amount_of(value: Any) -> str:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return str(value)
+    return f"{value:,}" if isinstance(value, int) else f"{value:,.4g}"
+
+
 def tables(runs: Runs, plan: dict[str, Any]) -> dict[str, str]:
     """By name."""
     measured = Measured(plan["size"], runs.rows, runs.figures)
@@ -93,6 +128,8 @@
     def amount(value: float | None) -> str:
         return "not measured" if value is None else number(value)
 
+    for part, figures in runs.figures.items():
+        found |= figure_tables(part, figures)
     heads = ("budget", "what spends it", "spent", "limit", "left", "verdict", "carried by", "first bound")
     found["budget"] = text(heads, (
         (one.name, "; ".join(f"{what} {amount(value)}" + (" (beyond)" if what in one.beyond else "")
