--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -420,7 +420,6 @@
         read_runs(tmp_path)
 
 
-@pytest.mark.skipif(not PAGE.exists(), reason="there is no page yet")
 def test_the_page_says_what_the_runs_gave() -> None:
     page = PAGE.read_text(encoding="utf-8")
     assert re.search("<!-- table ", page)
