--- a/thistleline/cli/feed.py
+++ b/thistleline/cli/feed.py
@@ -12,12 +12,12 @@
 import msgspec
 import orjson
 
-from thistleline.cli.fleet import Unusable, conf_of, logger, tell
+from thistleline.cli.fleet import Unusable, conf_of, logger, named, tell
 from thistleline.feed.bounds import CHANGE_BOUND, ITEMS_BOUND
 from thistleline.feed.client import FeedClient, look_each, propose, snapshot
 from thistleline.feed.messages import Item, Looked, Propose
 from thistleline.feed.table import MADE
-from thistleline.links.address import Address, read_address
+from thistleline.links.address import Address
 
 SPAN = click.FloatRange(0.1, 3600.0)
 LOOK_BOUND = 100  # keys asked for at once
@@ -67,13 +67,7 @@
 
 def _servers(conf: str | None, at: tuple[str, ...], *parts: str) -> dict[str, Address]:
     """By `--at name=address`, else by the file's lines of the first of these parts that has some."""
-    found: dict[str, Address] = {}
-    for one in at:
-        name, _, address = one.partition("=")
-        try:
-            found[name] = read_address(address)
-        except ValueError as error:
-            raise Unusable(str(error)) from error
+    found = named(at)
     if not found and conf is not None:
         told = conf_of(conf).feed
         for part in parts:
--- a/thistleline/cli/fleet.py
+++ b/thistleline/cli/fleet.py
@@ -32,15 +32,21 @@
         raise Unusable("\n".join(faulty.lines)) from faulty
 
 
-def voters_of(conf: str | None, voters: tuple[str, ...]) -> dict[str, Address]:
-    """By `--voter name=address`, else by the file's `council voter` lines."""
+def named(told: tuple[str, ...]) -> dict[str, Address]:
+    """Of words `name=address`. Raises Unusable."""
     found: dict[str, Address] = {}
-    for one in voters:
+    for one in told:
         name, _, address = one.partition("=")
         try:
             found[name] = read_address(address)
         except ValueError as error:
             raise Unusable(str(error)) from error
+    return found
+
+
+def voters_of(conf: str | None, voters: tuple[str, ...]) -> dict[str, Address]:
+    """By `--voter name=address`, else by the file's `council voter` lines."""
+    found = named(voters)
     if not found and conf is not None:
         told = conf_of(conf).council
         found = dict(told.voter) if told is not None else {}
