Feed: one round for who reads first after a standstill, one account of an item's cost

Need: read once more, the pump's wait and its reading after a standstill stood in client and service, and the bytes that an item counts for in history, archive and source. Rounds.next and history.cost_of/size_of serve all.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -421,7 +421,7 @@
         assert len(found) > 3
         assert [one.first for one in found[1:]] == [one.last for one in found[:-1]]
         for one in found:
-            assert histories._size(one.items) <= 2000
+            assert histories.size_of(one.items) <= 2000
 
 
 def test_who_missed_more_than_all_there_is_gets_the_snapshot_also_on_a_link_that_stands() -> None:
@@ -1678,7 +1678,7 @@
         while at < 4:
             delta = history.delta(at, kind)
             assert delta is not None
-            assert histories._size(delta.items) <= DELTA_BOUND
+            assert histories.size_of(delta.items) <= DELTA_BOUND
             at = delta.last
             way.append((at, delta.forget))
         ways.append(way)
--- a/thistleline/feed/archive.py
+++ b/thistleline/feed/archive.py
@@ -23,7 +23,7 @@
 import msgspec
 
 from thistleline.feed.bounds import PART_SIZE
-from thistleline.feed.history import COST, Items
+from thistleline.feed.history import Items, size_of
 from thistleline.feed.messages import Kind
 from thistleline.feed.table import APART, Table
 from thistleline.store.disk import Disk
@@ -164,7 +164,7 @@
             return b""
         size = 0
         for _, _, items in steps:
-            size += sum(len(key) + len(value or b"") + COST for key, value, _ in items)
+            size += size_of(items)
             if size > WRITE_BOUND:
                 return b""
         told = tuple((last, self._of_kind(items)) for _, last, items in steps)
--- a/thistleline/feed/client.py
+++ b/thistleline/feed/client.py
@@ -17,7 +17,6 @@
 import anyio
 import anyio.abc
 
-from thistleline.feed.bounds import BEAT, MS, SECOND
 from thistleline.feed.follower import Follower
 from thistleline.feed.link import Rounds, Up, ask
 from thistleline.feed.lookups import Found, Lookups
@@ -27,8 +26,6 @@
 from thistleline.links.address import Address
 from thistleline.store.clock import boot_now
 
-STANDSTILL = 100 * MS
-READ_FIRST = 8  # turns of the loop
 BELOW = 64  # the level of one that holds all and serves nobody
 ASK_SPAN, PROPOSE_SPAN = 2.0, 4.0  # s for one question, for one try of a proposal
 PAUSE = 0.1  # s between two tries
@@ -94,15 +91,8 @@
             self.log("left", number=self.table.number)
 
     async def _pump(self) -> None:
-        seen = boot_now()
         while True:
-            await self.rounds.wait((self.reducer.due() - boot_now()) / SECOND)
-            # Whoever stood still may have been spoken to meanwhile: that is read first.
-            turns = READ_FIRST if boot_now() - seen > STANDSTILL + BEAT else 1
-            for _ in range(turns):
-                await anyio.lowlevel.checkpoint()
-            seen = boot_now()
-            for told in self.rounds.take():
+            for told in await self.rounds.next(self.reducer.due()):
                 self._take(*told)
             if self.reducer.due() <= boot_now():
                 self._take("elapsed")
--- a/thistleline/feed/history.py
+++ b/thistleline/feed/history.py
@@ -49,7 +49,7 @@
 
     def take(self, table: Table, items: Items) -> None:
         """The same, with the state made already."""
-        size = _size(items)
+        size = size_of(items)
         self.steps.append((self.table.number, table.number, items, size))
         self.size += size
         self.table = table
@@ -119,7 +119,7 @@
                 told = [one for one in told if not one[0].startswith(MADE)]
             more = 0
             for key, value, _ in told:
-                more += _cost(key, value) - (_cost(key, newest[key][0]) if key in newest else 0)
+                more += cost_of(key, value) - (cost_of(key, newest[key][0]) if key in newest else 0)
             if last > number and size + more > DELTA_BOUND:
                 break
             size += more
@@ -131,9 +131,10 @@
         return Delta(number, last, items, digest, forget)
 
 
-def _cost(key: str, value: bytes | None) -> int:
+def cost_of(key: str, value: bytes | None) -> int:
+    """Bytes that an item counts for, wherever items are bounded."""
     return len(key) + len(value or b"") + COST
 
 
-def _size(items: Items) -> int:
-    return sum(_cost(key, value) for key, value, _ in items)
+def size_of(items: Items) -> int:
+    return sum(cost_of(key, value) for key, value, _ in items)
--- a/thistleline/feed/link.py
+++ b/thistleline/feed/link.py
@@ -12,18 +12,21 @@
 import anyio
 from anyio.abc import ByteStream, SocketStream, TaskGroup
 
-from thistleline.feed.bounds import MESSAGE_BOUND
+from thistleline.feed.bounds import BEAT, MESSAGE_BOUND, MS, SECOND
 from thistleline.feed.messages import Delta, Part, decode_source, encode
 from thistleline.links.address import Address
 from thistleline.links.codec import Hello, Unpacker, common_form, sealed
 from thistleline.links.ends import ENDS, ends
 from thistleline.links.greeting import receive_hello
+from thistleline.store.clock import boot_now
 
 PIECE = 1 << 18  # bytes read or handed over at once
 PATIENCE = 1.5  # s for a connection and its greeting
 STALL = 5.0  # s in which a peer takes nothing; then its connection ends
 OUT_BOUND = 4 << 20  # bytes that a peer has not taken
 ENCODED_BOUND = 16
+STANDSTILL = 100 * MS  # past a beat; after one as long all that lies unread is read first
+READ_FIRST = 8  # turns of the loop
 
 
 class Rounds:
@@ -32,6 +35,17 @@
     def __init__(self) -> None:
         self.inbox: list[tuple[Any, ...]] = []
         self.woken, self.round = anyio.Event(), anyio.Event()
+        self.seen = 0  # when the last round was
+
+    async def next(self, due: int) -> list[tuple[Any, ...]]:
+        """What came in, once there is something or `due` (ns of the boot clock) has come. Whoever stood still
+        may have been spoken to meanwhile: that is read before anybody judges time-outs."""
+        self.seen = self.seen or boot_now()
+        await self.wait((due - boot_now()) / SECOND)
+        for _ in range(READ_FIRST if boot_now() - self.seen > STANDSTILL + BEAT else 1):
+            await anyio.lowlevel.checkpoint()
+        self.seen = boot_now()
+        return self.take()
 
     def put(self, *told: Any) -> None:
         self.inbox.append(told)
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -16,7 +16,7 @@
 
 from thistleline.conf.schema import Council as CouncilConf
 from thistleline.conf.schema import Feed
-from thistleline.feed.bounds import BEAT, ID_BOUND, MADE_SLOTS, MESSAGE_BOUND, MS, SECOND
+from thistleline.feed.bounds import ID_BOUND, MADE_SLOTS, MESSAGE_BOUND, SECOND
 from thistleline.feed.link import PIECE, Encoder, Peer, Rounds, Up
 from thistleline.feed.messages import Look, Looked, Propose, Proposed, decode_follower
 from thistleline.feed.persist import Persist
@@ -33,8 +33,6 @@
 from thistleline.store.clock import boot_now
 
 LEASE = "feed"
-STANDSTILL = 100 * MS  # after one as long all that lies unread is read first, then the clock is heeded
-READ_FIRST = 8  # turns of the loop
 HELLO_SPAN = 2.0  # s
 IDLE_SPAN = 60.0  # s; who follows nothing and says nothing for so long is let go
 GUESTS_BOUND = 64  # connections beside the followers
@@ -123,15 +121,8 @@
         scope.cancel()
 
     async def _pump(self) -> None:
-        seen = boot_now()
         while True:
-            await self.rounds.wait((self.station.due() - boot_now()) / SECOND)
-            # Whoever stood still may have been spoken to meanwhile: that is read first.
-            turns = READ_FIRST if boot_now() - seen > STANDSTILL + BEAT else 1
-            for _ in range(turns):
-                await anyio.lowlevel.checkpoint()
-            seen = boot_now()
-            for told in self.rounds.take():
+            for told in await self.rounds.next(self.station.due()):
                 getattr(self, f"_on_{told[0]}")(*told[1:])
             if self.station.due() <= boot_now():
                 self._take("elapsed")
--- a/thistleline/feed/source.py
+++ b/thistleline/feed/source.py
@@ -24,7 +24,7 @@
     SECOND,
     STALL,
 )
-from thistleline.feed.history import COST, History
+from thistleline.feed.history import History, cost_of
 from thistleline.feed.messages import (
     AskTenants,
     Beat,
@@ -74,7 +74,7 @@
         size, items = 0, []
         while self._ahead is not None and size < PART_SIZE:
             items.append(self._ahead)
-            size += len(self._ahead[0]) + len(self._ahead[1]) + COST
+            size += cost_of(*self._ahead[:2])
             self._ahead = next(self._rest, None)
         self.parts.append(tuple(items))
 
@@ -303,7 +303,7 @@
         for key in served.asked:
             value, version = table.get(key) or (None, 0)
             items.append((key, value, version))
-            size += len(key) + len(value or b"") + COST
+            size += cost_of(key, value)
             if size >= PART_SIZE:
                 self._send(peer, Tenants(table.number, tuple(items)))
                 items, size = [], 0
--- a/thistleline/lab/member.py
+++ b/thistleline/lab/member.py
@@ -68,7 +68,6 @@
         from thistleline.lease import holder
 
         setattr(holder, "right", lambda length: 10 * length)  # noqa: B010
-
     elif left_out == "majority":
         from thistleline.feed.writer import Writer
 
