Added time is measured beside a forwarder that decides nothing, at each rate

Now each rate is first played to a forwarder on the same ways: it reads each task by the same wire code, sends it to the agent, and the end of its run back.

The bar stays on the whole, which is an upper bound of the instance's part.

--- a/tests/test_scale_parts.py
+++ b/tests/test_scale_parts.py
@@ -221,6 +221,16 @@
     assert 0 < told.added_p50 <= told.added_p99
 
 
+def test_a_forwarder_in_an_instances_place_answers_each_request_with_its_run() -> None:
+    with instance(20.0, 256, program=added.FORWARDER) as here:
+        told = anyio.run(added.load, here, 40, 1.0, 3)
+        with socket.create_connection(("127.0.0.1", here.port), timeout=5) as link:
+            connections.checked(link, 1)
+    assert told.finished == told.sent > 10
+    assert told.others == {}
+    assert 0 < told.added_p50 <= told.added_p99
+
+
 def test_an_instance_that_stands_still_at_each_request_is_seen_in_what_it_adds() -> None:
     with instance(20.0, 256, {"stall": 25}) as here:
         told = anyio.run(added.load, here, 10, 1.0, 3)
--- a/thistleline/lab/scale/added.py
+++ b/thistleline/lab/scale/added.py
@@ -3,8 +3,9 @@
 An instance of the program, its agent in a process of its own whose runs take a known time, and open-loop
 callers in this one: requests go out at times drawn before the run, whether or not others were answered. Added
 is what a caller waited beyond the time that the agent had the run in hand, so the ways over loopback and the
-delays of agent and caller are in it: it is an upper bound of the instance's own part. Beside it stand how
-late requests were sent, and what a check takes that asks for nothing beyond an idle instance.
+delays of agent and caller are in it: it is an upper bound of the instance's own part. Beside it stand, at
+each rate and right before it, the same ways with a forwarder in its place that decides nothing, how late
+requests were sent, and what a check takes that asks for nothing beyond an idle instance.
 
 Times count only from a machine that nothing else loads, so the long run is made alone:
 
@@ -30,6 +31,7 @@
 from thistleline.lab.scale.slopes import Part
 
 NAME = "added"
+FORWARDER = "thistleline.lab.scale.forwarder"
 RUN_MS = 20.0
 LINES = 64  # connections of all callers together
 MOST_US, DIGITS = 60_000_000, 3  # of a histogram
@@ -119,14 +121,16 @@
     named = rates_of()
     rates = [50, 150] if quick else sorted({50, 150, *named.values(), 450, 600})
     seconds = 1.5 if quick else 10.0
-    before, found, idle = machine(), list[Loaded](), 0.0
+    before, ways, found, idle = machine(), list[Loaded](), list[Loaded](), 0.0
     for rate in rates:
         # One of its own for each: what one rate leaves behind is not the next one's.
-        with instance(RUN_MS, 512) as here:
-            idle = idle_check(here)
-            found.append(anyio.run(load, here, rate, seconds, seed))
-        one = found[-1]
-        tell(f"{rate} a second: {one.added_p50} ms, 99 in 100 {one.added_p99} ms, {one.cores} cores")
+        for program, taken in ((FORWARDER, ways), ("", found)):
+            with instance(RUN_MS, 512, program=program) as here:
+                idle = idle_check(here)
+                taken.append(anyio.run(load, here, rate, seconds, seed))
+        one, way = found[-1], ways[-1]
+        tell(f"{rate} a second: {one.added_p50} ms, 99 in 100 {one.added_p99} ms, {one.cores} cores; "
+             f"with a forwarder {way.added_p50} and {way.added_p99} ms")  # fmt: skip
     figures: dict[str, Any] = {
         "run_ms": RUN_MS,
         "seconds_a_rate": seconds,
@@ -135,6 +139,7 @@
         "machine": {"before": before, "after": machine()},
         "idle_check_ms": idle,
         "by_rate": {str(one.rate): one._asdict() for one in found},
+        "forwarder": {str(one.rate): one._asdict() for one in ways},
         "trial": quick or before["load_1_min"] > 1.0,
     }
     if quick:
@@ -149,6 +154,8 @@
         row("instance: added to a request, middle", "ms", [one.added_p50 for one in found], note),
         row("instance: added to a request, 99 in 100", "ms", [one.added_p99 for one in found], note),
         row("instance: cores by requests a second", "cores", [one.cores for one in found], note),
+        row("forwarder: added to a request, middle", "ms", [one.added_p50 for one in ways], note),
+        row("forwarder: added to a request, 99 in 100", "ms", [one.added_p99 for one in ways], note),
     ]
     # Measured, not fitted: the lines' residual is larger than the steps between these rates.
     figures |= {
@@ -162,5 +169,5 @@
         ) <= bound
         for name, rate in named.items()
     }  # fmt: skip
-    bars["added: all requests answered"] = all(one.finished == one.sent for one in found)
+    bars["added: all requests answered"] = all(one.finished == one.sent for one in [*found, *ways])
     return {"rows": rows, "figures": figures, "bars": bars}
--- /dev/null
+++ b/thistleline/lab/scale/forwarder.py
@@ -0,0 +1,83 @@
+"""What stands where an instance would, and decides nothing: `python -m thistleline.lab.scale.forwarder` with
+ROUTER_CONFIG. Each task goes to the agent as it is read, each end of a run back to whoever sent the task.
+
+The same callers and the same agent on the same ways: what a request takes here, callers, agent, loopback and
+a loop in Python take without an instance.
+"""
+
+import asyncio
+import os
+from typing import Any
+
+from thistleline.life.configuration import Configuration, read_configuration
+from thistleline.wire import agent, thrift
+from thistleline.wire.buffer import Buffer
+
+
+class Ends(asyncio.Protocol):
+    """One connection: to the agent, or to a caller."""
+
+    def __init__(self, hall: "Hall", bound: int) -> None:
+        self.hall, self.buffer = hall, Buffer(bound)
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        while data:
+            room = self.buffer.room()
+            count = min(len(room), len(data))
+            room[:count] = data[:count]
+            self.buffer.filled(count)
+            data = data[count:]
+            self.take()
+
+    def take(self) -> None:
+        raise NotImplementedError
+
+
+class CallerEnd(Ends):
+    def take(self) -> None:
+        for message in self.hall.stubs.messages(self.buffer):
+            if message[0] == "task":
+                _, seq, task, _, body = message
+                self.hall.open[task.id] = self, seq
+                stage = self.hall.configuration.bench.stages[task.stage].name
+                self.hall.agent.transport.write(agent.start(task.id, stage, bytes(body)))
+            elif message[0] == "check":
+                self.transport.write(thrift.health(message[1], True, None))
+
+
+class AgentEnd(Ends):
+    def take(self) -> None:
+        for notice in agent.notices(self.buffer):
+            if notice[0] == "run_over" and notice[2] in self.hall.open:
+                caller, seq = self.hall.open.pop(notice[2])
+                caller.transport.write(thrift.finished(seq, bytes(notice[5]), None))
+
+
+class Hall:
+    """Both sides, and the tasks between them: by id, who sent them under which number."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self.stubs = thrift.Stubs(configuration.bench)
+        self.open: dict[str, tuple[Ends, int]] = {}
+        self.agent: Ends
+
+    async def serve(self) -> None:
+        """To the end of the process, which is whoever started it."""
+        loop = asyncio.get_running_loop()
+        _, self.agent = await loop.create_connection(
+            lambda: AgentEnd(self, agent.BUFFER_BOUND), *self.configuration.agent
+        )
+        self.agent.transport.write(agent.subscribe(0))
+        server = await loop.create_server(
+            lambda: CallerEnd(self, thrift.BUFFER_BOUND), *self.configuration.listen
+        )
+        print('{"event":"serving"}', flush=True)
+        await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(Hall(read_configuration(os.environ)).serve())
--- a/thistleline/lab/scale/instance.py
+++ b/thistleline/lab/scale/instance.py
@@ -48,10 +48,12 @@
 
 
 @contextmanager
-def instance(run_ms: float, connections: int, fault: dict[str, Any] | None = None) -> Iterator[Instance]:
+def instance(
+    run_ms: float, connections: int, fault: dict[str, Any] | None = None, program: str = ""
+) -> Iterator[Instance]:
     """One that serves, at an agent whose runs take so long, and that may have so many connections open; with
-    a fault of lab/server.py built in where one is told. It is ended by SIGKILL, the agent by its standard
-    input. Raises Hung where it doesn't come to serve."""
+    a fault of lab/server.py built in where one is told, or another program in its place. It is ended by
+    SIGKILL, the agent by its standard input. Raises Hung where it doesn't come to serve."""
     with folder_of("scale", "lab scale") as folder:
         words = [sys.executable, "-m", "thistleline.lab.scale.agent", f"{run_ms:g}"]
         agent = subprocess.Popen(words, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
@@ -69,8 +71,8 @@
             env.pop("THISTLELINE_CONF", None)
             env["LAB_FAULT"] = json.dumps(fault or {})
             with log.open("wb") as out:
-                program = "thistleline" if fault is None else "thistleline.lab.server"
-                command = [sys.executable, "-m", program]
+                usual = "thistleline" if fault is None else "thistleline.lab.server"
+                command = [sys.executable, "-m", program or usual]
                 server = subprocess.Popen(command, env=env, stdout=out, stderr=out)
             until = time.monotonic() + PATIENCE
             while b'"serving"' not in log.read_bytes():
