A deeply nested message or a negative version ends its link, not the program

A message of 3 KB that nests a list in a list in a list made the decoder raise RecursionError, also in a field that nobody knows and also in the Hello, before anybody was let in. That was no end of a connection (links/ends.py), so one stranger ended a keeper or a relay, and a voter of the council by the same Hello. An entry with a negative version in a Delta or Part made the table's hash raise OverflowError inside the reducer, which ended whoever followed.

Ruled out: bytes that are no UTF-8 and lengths past the input are DecodeErrors already. RecursionError is an end now like any unreadable message; versions are bounded by their type, so the decoder refuses them.

Both were seen: without the change the relay of the strangers' test dies, and the three messages of the new test raise RecursionError and nothing at all.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -57,6 +57,7 @@
 )
 from thistleline.feed.source import SNAPSHOT_KEPT, Snapshot, Source
 from thistleline.feed.table import Table
+from thistleline.links.ends import ENDS
 
 Entries = tuple[tuple[str, bytes | None], ...]
 
@@ -1860,6 +1861,20 @@
     assert (twin.follower.phase, view.follower.phase) == ("waiting", "following")
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        encode(Delta(1, 2, (("route/x", b"{}", -1),), bytes(16))),
+        encode(Part(1, 0, 1, (("route/x", b"{}", -1),), bytes(16))),
+        b"\x82\xa4type\xa4beat\xa1x" + b"\x91" * 3000 + b"\x01",  # a list in a list in a list
+    ],
+    ids=("delta", "part", "deep"),
+)
+def test_what_no_source_says_ends_its_link_and_not_the_follower(message: bytes) -> None:
+    with pytest.raises(ENDS):
+        decode_source(message)
+
+
 def test_all_messages_pass_the_codec() -> None:
     delta = Delta(1, 2, (("route/1", None, 2), ("route/2", b"x", 2)), bytes(16), True)
     assert decode_source(encode(delta)) == delta
--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -324,6 +324,7 @@
     conf.write_text(f"feed role relay\nfeed name r\nfeed level 1\nfeed listen 127.0.0.1:{port}\n"
                     f"feed up k=127.0.0.1:{nowhere}\nfeed followers 2\n")  # fmt: skip
     hello = sealed(encode(Hello("follower", "x" * 900)))
+    deep = b"\x91" * 3000 + b"\x01"  # a list in a list in a list
     follow = hello + sealed(encode(Follow("x", "wide", 0, bytes(16))))
     words = [
         *(b"GET / HTTP/1.1\r\n\r\n", b"\xff\xff\xff\xff", sealed(b"\x00"), hello + b"\x7f\xff\xff\xff"),
@@ -331,6 +332,7 @@
         *(hello + sealed(b"{}"), hello + sealed(encode(Have(1))), hello + sealed(encode(Want(-1, 1 << 40)))),
         hello + sealed(encode(Follow("x" * 500, "wide", -1, b"", 99))),
         follow + sealed(encode(AskTenants(("tenant/x",) * 500))),
+        *(sealed(b"\x82\xa4type\xa5hello\xa1x" + deep), hello + sealed(b"\x82\xa4type\xa4have\xa1x" + deep)),
     ]
 
     async def ends(text: bytes) -> None:
--- a/thistleline/feed/messages.py
+++ b/thistleline/feed/messages.py
@@ -4,12 +4,13 @@
 a table (feed/table.py). Of what comes from strangers every length is bounded by `feed/bounds.py`.
 """
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
 Kind = Literal["wide", "all"]  # what a follower holds: without the tenants, which are told on demand; or all
 Item = tuple[str, bytes | None]  # key and value; None takes the key away
+Version = Annotated[int, msgspec.Meta(ge=0)]  # of an entry: the number of the change that set it
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
@@ -102,7 +103,7 @@
 
     first: int
     last: int
-    items: tuple[tuple[str, bytes | None, int], ...]
+    items: tuple[tuple[str, bytes | None, Version], ...]
     digest: bytes
     forget: bool = False
 
@@ -113,7 +114,7 @@
     number: int
     index: int
     parts: int
-    items: tuple[tuple[str, bytes, int], ...]
+    items: tuple[tuple[str, bytes, Version], ...]
     digest: bytes
 
 
--- a/thistleline/links/ends.py
+++ b/thistleline/links/ends.py
@@ -8,8 +8,9 @@
 
 from thistleline.links.codec import Unreadable
 
-ENDS = (OSError, TimeoutError, Unreadable, msgspec.MsgspecError, anyio.EndOfStream, anyio.IncompleteRead,
-        anyio.BrokenResourceError, anyio.ClosedResourceError)  # fmt: skip
+# RecursionError: of a message that nests deeper than a decoder goes, also in a field nobody knows.
+ENDS = (OSError, TimeoutError, Unreadable, msgspec.MsgspecError, RecursionError, anyio.EndOfStream,
+        anyio.IncompleteRead, anyio.BrokenResourceError, anyio.ClosedResourceError)  # fmt: skip
 
 
 @contextmanager
