A keeper that wrote counts for the next writer with all that its disk has

What its disk has was counted up to the follower's own table only, and that stands still while the keeper writes. Once it followed the next writer, it told the disk's number from before its hold, and nothing told it anew, as nothing more was written. With the third keeper away the ring of the next writer was full and stayed so: 'change 2 is on the disks of 1 of 3 keepers', with two of three on disk, and every change was refused until one of the two was started anew.

Ruled out: telling it with each beat, which costs each follower a message more. The number is taken as told while the follower is quiet, since the end of that brings the very table that it counts for.

--- a/tests/test_feed_writer.py
+++ b/tests/test_feed_writer.py
@@ -30,6 +30,7 @@
 from thistleline.feed.messages import Change, Group, Propose, Proposed, decode_group, encode
 from thistleline.feed.table import Table
 from thistleline.feed.writer import ASK_AGAIN, CATCH_UP_SPAN, LINE_SIZE, Writer, key_of
+from thistleline.lab.feedworld import changed, fleet, settle
 from thistleline.lease.table import Table as Council
 from thistleline.lease.table import data_of
 from thistleline.lease.terms import Break, Denied, Done, Granted, Put, Take
@@ -660,6 +661,27 @@
     assert one.out == []
 
 
+def test_who_wrote_counts_for_the_next_writer_with_all_that_its_disk_has(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Of three keepers one is away: without the disk of who wrote before, the ring of the next is full."""
+
+    def away(name: str) -> bool:
+        return name == "k2"
+
+    monkeypatch.setattr(writers, "RING", 2)
+    world = changed(fleet(relays=0, instances=0), 3, away)
+    world.move("k1")
+    world.lose("k0")
+    for _ in range(4):
+        settle(world, away)
+        world.ticks += 1  # k0 asked k2 first, which is silent
+    for _ in range(2):
+        world.propose("k1")
+        settle(world, away)
+    assert world.acked == {f"c{place}": place + 1 for place in range(5)}
+
+
 def test_what_was_durable_in_an_earlier_hold_does_not_count_but_the_own_disk_does() -> None:
     one = leading()
     one.write(RING)
--- a/thistleline/feed/follower.py
+++ b/thistleline/feed/follower.py
@@ -125,7 +125,8 @@
             self._leave("it does not write")
 
     def _durable(self, number: int) -> None:
-        number = min(number, self.table.number)
+        if self.phase != "quiet":  # there `go` brings the table that this counts for
+            number = min(number, self.table.number)
         if number > self.durable:
             self.durable = number
             if self.kind == "all" and self.phase in ("loading", "following"):
