Who stands inside a step with another state loads anew

Inside of a step that a relay merged its digest can't be told, so whoever stands there is led on, and the digest at the step's end tells who stood elsewhere. That one then came with no digest, to be loaded anew, and was led on again: it left 'out of turn', went to the next with the same step, and so on till the history was past that step, serving its wrong state.

No digest is known nowhere now, so the next source gives it all. Ruled out: having the follower forget its number, by which it would take an older state.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1068,6 +1068,25 @@
     assert [one.load for one in told(net, "x", Welcome)] == [False]
 
 
+def test_who_stands_inside_a_step_with_another_state_loads_anew() -> None:
+    """That step leads it to another digest; the next one has the same step."""
+    written = Written()
+    written.some(6)
+    history = History(written.tables[2])
+    history.move(
+        5, tuple((key, value, number) for number in (3, 4, 5) for key, value in written.changes[number])
+    )
+    net = Net(written)
+    for name in ("a", "b"):
+        net.serve(name, history.copy())
+    strange = Table().moved(4, (("route/strange", b"{}", 1),))
+    net.follow("x", "a", "b", table=strange)
+    net.run(6 * SECOND)
+    assert [why for _, why in net.drops] == ["another digest"]
+    table = net.follower("x").table
+    assert (table.number, table.digest("wide")) == (5, history.table.digest("wide"))
+
+
 def test_a_relay_that_loads_anew_has_its_followers_follow_suit() -> None:
     written = Written()
     written.some(5)
--- a/thistleline/feed/history.py
+++ b/thistleline/feed/history.py
@@ -70,10 +70,11 @@
     def knows(self, number: int, digest: bytes, kind: Kind) -> bool:
         """Whether that state lies on the way to the newest one, so that a delta may lead on from it. Inside
         of a step, where the followers of a relay that merged otherwise stand, that can't be told here: what
-        the step touched leads on from there too, and the digest at its end tells who stood elsewhere."""
+        the step touched leads on from there too, and the digest at its end tells who stood elsewhere: that
+        one comes with no digest then, and is known nowhere."""
         known = self._digests.get(number)
         if known is None:
-            return self.base < number < self.table.number
+            return bool(digest) and self.base < number < self.table.number
         return known[int(kind == "all")] == digest
 
     def digest(self, number: int, kind: Kind) -> bytes | None:
