Who asks the feed without end is taken a message a round, and not while it reads nothing

Now one message of each peer is taken a round, none while 2 MB wait for it, and past the bound nothing more is put there. Ruled out: smaller pieces alone, as a question of 2 KB already has an answer of half a megabyte.

Followers say one Have a Delta, so for them nothing changes.

--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -10,26 +10,31 @@
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import anyio
 import pytest
 
-from thistleline.conf.schema import Faulty, check
+from thistleline.conf.schema import Faulty, Feed, check
+from thistleline.feed import link
 from thistleline.feed.bounds import MESSAGE_BOUND, RING
 from thistleline.feed.client import look, propose
-from thistleline.feed.link import OUT_BOUND, Encoder, Outgoing
+from thistleline.feed.history import Items
+from thistleline.feed.link import OUT_BOUND, Encoder, Outgoing, Rounds
 from thistleline.feed.messages import (
     AskTenants,
     Delta,
     Follow,
     Have,
+    Look,
     Propose,
     Refused,
     Want,
     decode_source,
     encode,
 )
-from thistleline.feed.service import LOOK_BOUND
+from thistleline.feed.service import LOOK_BOUND, FeedService
+from thistleline.feed.table import Table
 from thistleline.lab.feedfleet import FeedFleet
 from thistleline.lab.harness import Hung, Process, free_port
 from thistleline.lab.net import Way
@@ -381,6 +386,66 @@
     assert "Traceback" not in (tmp_path / "r.log").read_text()
 
 
+def in_process(story: Callable[[FeedService], Awaitable[None]], items: Items = ()) -> list[tuple[str, Any]]:
+    """A relay in this process that holds these entries and has nobody above it; what it logged."""
+    logged: list[tuple[str, Any]] = []
+    at, nowhere = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
+    conf = Feed(name="r", listen=at, role="relay", level=1, up={"k": nowhere}, followers=2)
+
+    async def run() -> None:
+        relay = FeedService(conf, None, lambda event, **facts: logged.append((event, facts)))
+        if items:
+            relay.station.history.anew(Table().moved(1, items))
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as group:
+                group.start_soon(relay.run)
+                while await look(at) is None:
+                    await anyio.sleep(0.02)
+                await story(relay)
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+    return logged
+
+
+def test_who_asks_without_end_and_reads_nothing_costs_a_bounded_part_and_stalls_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """50 MB of answers, if all were made; between two turns of the loop one of them at the most."""
+    keys = tuple(f"common/{place}" for place in range(LOOK_BOUND))
+    asks = sealed(encode(Hello("follower", "x"))) + 100 * sealed(encode(Look(keys)))
+    rounds: list[int] = []
+    waits: list[int] = []
+
+    def counted(self: Outgoing, frame: bytes, had: Any = Outgoing.put) -> None:
+        had(self, frame)
+        waits.append(self.size)
+
+    def taken(self: Rounds, had: Any = Rounds.take) -> Any:
+        found = had(self)
+        rounds.append(len(found))
+        return found
+
+    monkeypatch.setattr(Outgoing, "put", counted)
+    monkeypatch.setattr(Rounds, "take", taken)
+    monkeypatch.setattr(link, "STALL", 0.3)
+
+    def there(relay: FeedService) -> bool:
+        return any(peer.id == "x" for peer in relay.peers.values())
+
+    async def story(relay: FeedService) -> None:
+        async with await anyio.connect_tcp(*relay.listen) as stream:
+            await stream.send(asks)
+            while not there(relay):
+                await anyio.sleep(0)
+            while there(relay):
+                assert await look(relay.listen) is not None
+        assert max(waits) <= OUT_BOUND
+        assert max(rounds) <= 3  # of both peers, and that one left
+
+    in_process(story, tuple((key, bytes(4000), 1) for key in keys))
+
+
 def test_one_object_for_many_is_encoded_once_and_who_takes_nothing_is_let_go() -> None:
     encoder = Encoder()
     delta = Delta(1, 2, (("common/x", b"{}", 2),), bytes(16))
@@ -396,6 +461,8 @@
         assert not ended
         out.put(b"x")
         assert ended
+        out.put(b"x")
+        assert out.size == OUT_BOUND + 1
 
     anyio.run(story)
 
--- a/thistleline/feed/link.py
+++ b/thistleline/feed/link.py
@@ -1,7 +1,9 @@
 """Connections of the feed, both ends: who follows (`Up`) and who serves (`Peer`). Frames as in links/codec.
 
 A reader hands over what it has read and reads on once that was taken, so what waits here of one peer is a
-piece of its stream; what waits for it is bounded, and past the bound its connection ends.
+piece of its stream. Of who comes in one message a round is taken, and none while too much waits for it:
+guards against one that asks without end and stalls the others, or reads nothing of the answers. What waits
+for a peer is bounded, and past the bound its connection ends.
 """
 
 from collections import OrderedDict, deque
@@ -24,6 +26,7 @@
 PATIENCE = 1.5  # s for a connection and its greeting
 STALL = 5.0  # s in which a peer takes nothing; then its connection ends
 OUT_BOUND = 4 << 20  # bytes that a peer has not taken
+FLOWS = OUT_BOUND // 2  # more, and it is not read; above a Delta and all tenants that may be asked for
 ENCODED_BOUND = 16
 STANDSTILL = 100 * MS  # past a beat; after one as long all that lies unread is read first
 READ_FIRST = 8  # turns of the loop
@@ -96,17 +99,24 @@
     def __init__(self, end: Callable[[], None]) -> None:
         self.waiting: deque[bytes] = deque()
         self.size = 0
-        self.more = anyio.Event()
+        self.more, self.less = anyio.Event(), anyio.Event()
         self.end = end
         self.last = False  # nothing more comes: it ends once all is sent
 
     def put(self, frame: bytes) -> None:
+        if self.size > OUT_BOUND:
+            return  # it ends
         self.waiting.append(frame)
         self.size += len(frame)
         if self.size > OUT_BOUND:
             self.end()
         self.more.set()
 
+    async def flows(self) -> None:
+        """Until what waits is little enough for more to be asked."""
+        while self.size > FLOWS:
+            await self.less.wait()
+
     async def send(self, stream: ByteStream) -> None:
         """Until it is cancelled or the peer takes nothing for so long."""
         while True:
@@ -118,6 +128,8 @@
                 with anyio.fail_after(STALL):
                     await stream.send(pieces[0] if len(pieces) == 1 else b"".join(pieces))
                 self.size -= size
+                self.less.set()
+                self.less = anyio.Event()
             if self.last:
                 self.end()
             self.more = anyio.Event()
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -329,9 +329,9 @@
         while True:
             with anyio.fail_after(IDLE_SPAN):
                 data = await peer.stream.receive(PIECE)
-            heard = [("peer", peer.number, decode_follower(one)) for one in unpacker.take(data)]
-            if heard:
-                await self.rounds.bring(heard)
+            for one in unpacker.take(data):
+                await self.rounds.bring([("peer", peer.number, decode_follower(one))])
+                await peer.out.flows()
 
 
 def sources_of(conf: Feed) -> dict[str, Address]:
