A connection that can't be taken ends neither a keeper nor a relay

Where accept fails, as no descriptor is left for a moment or a connection came to nothing, the error ended the listener's task and with it the program. The instance's own front (life/front.py) goes on in these cases; the feed's listener, anyio's, raises.

Now it says so once, waits 0.1 s and goes on; who is connected stays, as their tasks are in the program's group. Ruled out: a list of the errors that may pass, since whatever accept says of the next connection is no reason to leave those that stand.

With the limit of descriptors set below what is open for a moment, the relay ended with 'Too many open files'; now it logs that and answers the next.

--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -1,8 +1,11 @@
 """The feed between processes of the program: keepers, relays and subscribers, with faults between them."""
 
+import errno
 import json
 import os
+import resource
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -446,6 +449,25 @@
     in_process(story, tuple((key, bytes(4000), 1) for key in keys))
 
 
+def test_a_connection_that_can_t_be_taken_ends_nothing() -> None:
+    """No descriptor is left for a moment."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    async def story(relay: FeedService) -> None:
+        with socket.socket() as one:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (one.fileno(), limits[1]))
+            try:
+                one.connect(relay.listen)
+                while "who comes" not in relay.told:
+                    await anyio.sleep(0.01)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        assert await look(relay.listen) is not None
+
+    logged = in_process(story)
+    assert ("refused", {"of": "who comes", "why": os.strerror(errno.EMFILE)}) in logged
+
+
 def test_one_object_for_many_is_encoded_once_and_who_takes_nothing_is_let_go() -> None:
     encoder = Encoder()
     delta = Delta(1, 2, (("common/x", b"{}", 2),), bytes(16))
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -12,7 +12,7 @@
 
 import anyio
 import msgspec
-from anyio.abc import SocketStream
+from anyio.abc import Listener, SocketStream
 
 from thistleline.conf.schema import Council as CouncilConf
 from thistleline.conf.schema import Feed
@@ -39,6 +39,7 @@
 SPARE_FILES = 64  # descriptors for what else there is
 LOOK_BOUND, LOOK_SIZE = 128, MESSAGE_BOUND // 2  # keys, bytes of values in one answer
 GET_SPAN = 0.8  # s; the writer asks each second
+ACCEPT_PAUSE = 0.1  # s after one that came to nothing
 LEAVE_SPAN = 3.0  # s to give the lease back and to write down what waits
 
 
@@ -95,7 +96,8 @@
             self.group = group
             self.up = Up(self.name, self.sources, group, self.rounds, lambda told: ("up", *told))
             group.start_soon(self._until_told, group.cancel_scope)
-            group.start_soon(listener.serve, self._serve)
+            for one in listener.listeners:
+                group.start_soon(self._accept, one)
             group.start_soon(self._pump)
             if self.persist is not None:
                 group.start_soon(self.persist.run)
@@ -297,6 +299,15 @@
 
     # ---- who comes
 
+    async def _accept(self, listener: Listener[SocketStream]) -> None:
+        """Guards against the end of all by one that came to nothing, or where no descriptor is left."""
+        while True:
+            try:
+                await listener.serve(self._serve, self.group)
+            except OSError as error:
+                self._say("refused", "who comes", error.strerror or str(error))
+            await anyio.sleep(ACCEPT_PAUSE)
+
     async def _serve(self, stream: SocketStream) -> None:
         if len(self.peers) >= self.peers_bound:
             self._say("refused", "who comes", "all connections are taken")
