Those who only connect to a keeper or a relay keep nobody out

At the bound of connections who came was refused, whoever the others were. 1,088 that said Hello and nothing more had all of a relay's places for 60 s each, without a Hello for 2 s: its followers could come back to nobody there, and a keeper so held took no change.

At the bound the one that is there longest and does not follow is ended for the next. Who means to follow or asks something is done within a trip or two. Who follows is never ended for another. Ruled out: shorter waits alone, which only make the stranger come oftener.

The story (all places taken by the silent, ten more come): a question had no answer before, has one now, and who followed still does.

--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -468,6 +468,27 @@
     assert ("refused", {"of": "who comes", "why": os.strerror(errno.EMFILE)}) in logged
 
 
+def test_those_who_only_connect_keep_nobody_out() -> None:
+    """Some say who they are and nothing more, some not even that; one follows, and stays."""
+    hello = sealed(encode(Hello("follower", "x")))
+
+    async def story(relay: FeedService) -> None:
+        async with AsyncExitStack() as stack:
+            for place in range(relay.peers_bound + 10):
+                stream = await stack.enter_async_context(await anyio.connect_tcp(*relay.listen))
+                if not place:
+                    await stream.send(hello + sealed(encode(Follow("x", "wide", 0, bytes(16)))))
+                    while not relay.station.source.peers:
+                        await anyio.sleep(0)
+                elif place % 2:
+                    await stream.send(hello)
+            assert await look(relay.listen) is not None
+            assert len(relay.peers) <= relay.peers_bound + 1
+            assert len(relay.station.source.peers) == 1
+
+    in_process(story)
+
+
 def test_one_object_for_many_is_encoded_once_and_who_takes_nothing_is_let_go() -> None:
     encoder = Encoder()
     delta = Delta(1, 2, (("common/x", b"{}", 2),), bytes(16))
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import signal
+from collections import OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
 from random import Random
@@ -67,6 +68,7 @@
             conf.followers,
         )
         self.peers: dict[int, Peer] = {}
+        self.guests: OrderedDict[int, Peer] = OrderedDict()  # of these who does not follow, the first first
         self.count = 0
         files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self.peers_bound = max(1, min(conf.followers + GUESTS_BOUND, files - SPARE_FILES))
@@ -148,6 +150,7 @@
         else:
             if not peer.follows:
                 peer.follows = True
+                self.guests.pop(number, None)
                 self._take("down", "joined", number)
             self._take("down", "heard", number, message)
 
@@ -311,11 +314,14 @@
     async def _serve(self, stream: SocketStream) -> None:
         if len(self.peers) >= self.peers_bound:
             self._say("refused", "who comes", "all connections are taken")
-            await anyio.aclose_forcefully(stream)
-            return
+            if not self.guests:
+                await anyio.aclose_forcefully(stream)
+                return
+            # Guards against those who only connect: who means to follow or asks something is soon done.
+            self.guests.popitem(last=False)[1].end("another came")
         self.count += 1
         peer = Peer(self.count, stream)
-        self.peers[peer.number] = peer
+        self.peers[peer.number] = self.guests[peer.number] = peer
         try:
             with peer.scope, ends(peer.note):
                 async with stream:
@@ -332,6 +338,7 @@
                         await self._read(peer)
         finally:
             del self.peers[peer.number]
+            self.guests.pop(peer.number, None)
             if peer.follows:
                 self.rounds.put("left", peer.number)
 
