A keeper or relay heeds a notice from its 'started' on, and a second one changes nothing

The receiver of signals was opened in a task after 'started' was told, and closed by the first notice. So a SIGTERM right at 'started' ended the program by the signal, and so did a second one while it gave the lease back and wrote down what waits: exit code -15, the folder not closed, the lease held till its end.

The receiver is now open from before it listens till after 'left'. Not changed: while a folder is read at the start a notice still ends it by the signal; nothing is owed then.

--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -468,6 +468,37 @@
     assert ("refused", {"of": "who comes", "why": os.strerror(errno.EMFILE)}) in logged
 
 
+def test_a_second_notice_changes_nothing(tmp_path: Path) -> None:
+    """A keeper that leaves waits for a council that is not there; it is told to leave once more."""
+    port, nowhere = free_port(), free_port()
+    conf = tmp_path / "k.conf"
+    conf.write_text(f"feed role keeper\nfeed name k\nfeed listen 127.0.0.1:{port}\n"
+                    f"feed folder {tmp_path / 'k'}\nfeed keeper k=127.0.0.1:{port}\n"
+                    f"council voter a=127.0.0.1:{nowhere}\n")  # fmt: skip
+    keeper = Process("k", ["feed", "--conf", str(conf)], {}, tmp_path)
+
+    def reached(event: str) -> bool:
+        return any(told["event"] == event for told in keeper.events())
+
+    keeper.start()
+    try:
+        assert keeper.process is not None
+        for event, number in (
+            ("started", signal.SIGTERM),
+            ("leaving", signal.SIGTERM),
+            ("leaving", signal.SIGINT),
+        ):
+            until = time.monotonic() + 20
+            while not reached(event):
+                assert time.monotonic() < until
+                time.sleep(0.01)
+            keeper.signal(number)
+        assert keeper.process.wait(20) == 0
+        assert reached("left")
+    finally:
+        keeper.close()
+
+
 def test_those_who_only_connect_keep_nobody_out() -> None:
     """Some say who they are and nothing more, some not even that; one follows, and stays."""
     hello = sealed(encode(Hello("follower", "x")))
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -6,7 +6,7 @@
 import resource
 import signal
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 from random import Random
 from typing import Any
@@ -89,6 +89,11 @@
 
     async def run(self) -> None:
         """Until SIGTERM or SIGINT. Raises OSError where it can't listen."""
+        # Open to the very end: guards against a second notice that would end it at once, by the signal.
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await self._run(signals)
+
+    async def _run(self, signals: AsyncIterator[signal.Signals]) -> None:
         listener = await anyio.create_tcp_listener(local_host=self.listen[0], local_port=self.listen[1])
         table = self.station.table
         self.log("started", id=self.name, role=self.conf.role, level=self.conf.level, number=table.number,
@@ -97,7 +102,7 @@
         async with listener, anyio.create_task_group() as group:
             self.group = group
             self.up = Up(self.name, self.sources, group, self.rounds, lambda told: ("up", *told))
-            group.start_soon(self._until_told, group.cancel_scope)
+            group.start_soon(self._until_told, signals, group.cancel_scope)
             for one in listener.listeners:
                 group.start_soon(self._accept, one)
             group.start_soon(self._pump)
@@ -110,10 +115,9 @@
             self.persist.close()
         self.log("left", number=self.station.table.number)
 
-    async def _until_told(self, scope: anyio.CancelScope) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
+    async def _until_told(self, signals: AsyncIterator[signal.Signals], scope: anyio.CancelScope) -> None:
+        async for _ in signals:
+            break
         self.log("leaving", number=self.station.table.number)
         self.leaving = True
         with anyio.move_on_after(LEAVE_SPAN):
