Arguments of 'feed' that are no UTF-8 end with 2 and their names, requests can be got

'get made/N' ended with a traceback too, as what stands there is a request and no JSON.

All words that go over a link are looked at first and each faulty one is named; the rule is the one that look-ups go by (feed/lookups.py).

--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -104,6 +104,14 @@
         facts = [json.loads(line) for line in got.stdout.splitlines()]
         assert [(one["value"], one["version"]) for one in facts] == [({"n": 1}, 1), (None, 0)]
         assert got.returncode == 1
+        strange = "common/\udcff"  # bytes that are no UTF-8
+        words = ["--delete", strange, "--expect", f"{strange}=1", "--request", strange]
+        told = await run("put", *words)
+        assert (told.returncode, told.stderr.count("is no text"), "Trace" in told.stderr) == (2, 3, False)
+        told = await run("get", strange)
+        assert (told.returncode, told.stderr) == (2, "Error: 'common/\\udcff' is no text\n")
+        got = await run("get", "made/2", "--json")
+        assert json.loads(got.stdout)["value"] == "once"
         status = await run("status", "--json")
         assert [json.loads(line)["holds"] for line in status.stdout.splitlines()].count(True) == 1
         followed = await run("follow", "--until", "3", "--json")
--- a/thistleline/cli/feed.py
+++ b/thistleline/cli/feed.py
@@ -15,6 +15,7 @@
 from thistleline.cli.fleet import Unusable, conf_of, logger, named, tell
 from thistleline.feed.bounds import CHANGE_BOUND, ITEMS_BOUND
 from thistleline.feed.client import FeedClient, look_each, propose, snapshot
+from thistleline.feed.lookups import written
 from thistleline.feed.messages import Item, Looked, Propose
 from thistleline.feed.table import MADE
 from thistleline.links.address import Address
@@ -123,6 +124,7 @@
             faults.append(f"{one!r} is no KEY=VERSION")
         else:
             expected.append((key, int(version)))
+    faults += _no_text((request, *(key for key, _ in items), *(key for key, _ in expected)))
     if not items and not faults:
         faults.append("there is nothing to change: KEY=JSON, --delete or --file")
     if in_parts and expected:
@@ -146,13 +148,15 @@
             raise click.ClickException(answer.why)
 
 
+def _no_text(words: tuple[str, ...]) -> list[str]:
+    """Of arguments whose bytes are no UTF-8: they go over no link."""
+    return [f"{word!r} is no text" for word in words if not written(word)]
+
+
 def _item(key: str, value: bytes, faults: list[str]) -> list[Item]:
     """A value goes out as compact JSON."""
     try:
-        key.encode()
         return [(key, orjson.dumps(orjson.loads(value)))]
-    except UnicodeEncodeError:
-        faults.append(f"{key!r} is no text")
     except orjson.JSONDecodeError as error:
         faults.append(f"{key}: {error}")
     return []
@@ -206,6 +210,9 @@
 def get(conf: str | None, at: tuple[str, ...], keys: tuple[str, ...], as_json: bool) -> None:
     """Entries as the one that stands furthest holds them; exit code 1 if one is not there."""
     servers, missing = _servers(conf, at, "up", "keeper"), 0
+    faults = _no_text(keys)
+    if faults:
+        raise Unusable("\n".join(faults))
     for place in range(0, len(keys), LOOK_BOUND):
         asked = keys[place : place + LOOK_BOUND]
         while asked:
@@ -214,7 +221,7 @@
                 raise click.ClickException(f"{asked[0]} is not told")
             for key, value, version in found.items:
                 missing += value is None
-                told = None if value is None else msgspec.json.decode(value)
+                told = value and (value.decode() if key.startswith(MADE) else msgspec.json.decode(value))
                 facts = {"key": key, "version": version, "number": found.number, "value": told}
                 tell(facts, as_json, _words)
             asked = asked[len(found.items) :]
--- a/thistleline/feed/lookups.py
+++ b/thistleline/feed/lookups.py
@@ -64,7 +64,7 @@
         if found is not None:
             self.tenants.move_to_end(key)
             return found
-        if len(key) > KEY_BOUND or not _written(key):
+        if len(key) > KEY_BOUND or not written(key):
             return ABSENT  # no change can have set it
         if key not in self.asked and len(self.wanted) < self.bound:
             self.wanted[key] = None
@@ -132,7 +132,7 @@
                 self.tenants[key] = ABSENT if value is None else Found(value, version, True)
 
 
-def _written(key: str) -> bool:
+def written(key: str) -> bool:
     """Whether it can go over a link."""
     try:
         key.encode()
