A keeper's search after a heal goes straight to who writes

A keeper follows who writes and tried the others one after another, each after a wait of up to a second, so that after a heal its relays' side stayed old for up to 3.8 s (five keepers). A keeper that is asked but does not write knows whom it follows itself.

Its Welcome names that one now, and the search goes there at once, but once only till the next wait: two that name each other cost a wait a round. Keepers wait a quarter second at the most between tries, as they are few and all relays below wait for them. What a keeper says of who writes holds while it follows that one: before, one that was asking the next told proposers that this next one wrote.

Ruled out: the lease's record, which names a holder that may not take followers yet and costs a question to the council a try; pushing the name to all followers, whom it does not concern.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1151,6 +1151,25 @@
     assert net.follower("k").at == "b"
 
 
+def test_a_keeper_goes_straight_to_who_writes_and_is_sent_on_by_each_but_once() -> None:
+    one = Follower("k", "all", Table(), ("a", "b", "c"), 0, lambda span: span)
+
+    def asks(leader: str) -> str:
+        """Whom it asks at once, having been told by the next that this one writes."""
+        now = one.due()
+        connects = one.take(now, "elapsed")
+        at = connects[0][1]
+        one.take(now, "connected", at)
+        assert one.take(now, "heard", at, Welcome(0, False, 0, 0, 1, False, leader))[0][0] == "drop"
+        return one.sources[one.place] if one.due() == now else ""
+
+    assert asks("") == ""
+    assert asks("nobody") == ""
+    assert asks("a") == "a"
+    assert asks("c") == ""  # two that send it to each other cost a wait for each round
+    assert asks("c") == "c"
+
+
 def test_a_keeper_that_is_to_write_catches_up_from_one_that_does_not() -> None:
     written = Written()
     written.some(5)
--- a/tests/test_feed_writer.py
+++ b/tests/test_feed_writer.py
@@ -28,6 +28,7 @@
 from thistleline.feed.check import fault
 from thistleline.feed.history import History
 from thistleline.feed.messages import Change, Group, Propose, Proposed, decode_group, encode
+from thistleline.feed.station import Station
 from thistleline.feed.table import Table
 from thistleline.feed.writer import ASK_AGAIN, CATCH_UP_SPAN, LINE_SIZE, Writer, key_of
 from thistleline.lab.feedworld import changed, fleet, settle
@@ -682,6 +683,21 @@
     assert world.acked == {f"c{place}": place + 1 for place in range(5)}
 
 
+def test_a_keeper_says_who_writes_while_it_follows_that_one_and_no_longer() -> None:
+    world = fleet(relays=0, instances=0)
+
+    def said(name: str) -> tuple[str, str]:
+        node = world.nodes[name]
+        assert isinstance(node, Station)
+        return node.leader, node.source.leader
+
+    assert [said(name) for name in ("k0", "k1", "k2")] == [("", ""), ("k0", "k0"), ("k0", "k0")]
+    world.end("k1")
+    assert said("k1") == ("", "")
+    world.put("k1", "elapsed")  # it asks k2, who does not write
+    assert said("k1") == ("", "")
+
+
 def test_what_was_durable_in_an_earlier_hold_does_not_count_but_the_own_disk_does() -> None:
     one = leading()
     one.write(RING)
--- a/thistleline/feed/follower.py
+++ b/thistleline/feed/follower.py
@@ -39,6 +39,7 @@
     __slots__ = (
         *("id", "kind", "table", "sources", "now", "spread", "level", "phase", "at", "place", "wait_until"),
         *("heard_at", "welcome", "epoch", "any", "durable", "unsure", "load", "part", "wanted", "effects"),
+        "straight",
     )
 
     def __init__(
@@ -65,6 +66,7 @@
         self.any = False
         self.durable = 0
         self.unsure = False  # its state is not what its source calls by that number: it loads anew
+        self.straight = False  # it goes where it was sent to, by one that does not write
         self.load: Table | None = None  # as far as it came
         self.part = self.wanted = 0  # the next to come, and to ask for
         self.effects: list[tuple[Any, ...]] = []
@@ -82,7 +84,7 @@
         return (
             *(self.id, self.kind, self.level, self.table.number, self.table.digest(self.kind), self.sources),
             *(self.phase, self.at, self.place, self.welcome, self.epoch, self.any, self.durable, self.unsure),
-            *(load and (load.number, load.digest(self.kind)), self.part, self.wanted),
+            *(load and (load.number, load.digest(self.kind)), self.part, self.wanted, self.straight),
             *(self.wait_until - self.now if self.phase == "waiting" else 0,),
             *(self.heard_at - self.now if self.at else 0,),
         )
@@ -183,10 +185,12 @@
         self._wait()
 
     def _wait(self) -> None:
-        """The next one, after a wait of its own: guards against all of a dead one's coming at once."""
-        self.phase, self.at, self.load = "waiting", "", None
+        """The next one, after a wait of its own: guards against all of a dead one's coming at once. Keepers
+        are few, and the relays wait for what they find."""
+        self.phase, self.at, self.load, self.straight = "waiting", "", None, False
         self.place = (self.place + 1) % max(1, len(self.sources))
-        self.wait_until = self.now + self.spread(SPREAD)
+        keeper = self.kind == "all" and not self.level
+        self.wait_until = self.now + self.spread(SPREAD // 4 if keeper else SPREAD)
 
     def _doubt(self) -> None:
         """Its own state or the source's is not what it seems: the next one gives it all of its own."""
@@ -210,7 +214,12 @@
             return
         self.welcome = told
         if not self._fits(told):
+            # Once: guards against two that send it to each other.
+            straight = not self.level and not self.straight and told.leader in self.sources
             self._leave("not above it" if self.level else "it does not write")
+            if straight:
+                self.straight, self.place = True, self.sources.index(told.leader)
+                self.wait_until = self.now
             return
         self.epoch = max(self.epoch, told.epoch)
         if told.load:
--- a/thistleline/feed/messages.py
+++ b/thistleline/feed/messages.py
@@ -80,7 +80,7 @@
 
 class Welcome(msgspec.Struct, frozen=True, tag="welcome"):
     """How it goes on: with changes, or `load` with the snapshot `number` in `parts` parts. `epoch`: of who
-    writes, as far as known; `holds`: it is the one that writes."""
+    writes, as far as known; `holds`: it is the one that writes; else a keeper names that one as `leader`."""
 
     number: int
     load: bool
@@ -88,6 +88,7 @@
     level: int
     epoch: int
     holds: bool
+    leader: str = ""
 
 
 class Refused(msgspec.Struct, frozen=True, tag="refused"):
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -247,7 +247,7 @@
             if size > LOOK_SIZE:
                 break
             items.append((key, value, version))
-        epoch, holds = station.told
+        epoch, holds, _ = station.told
         answer = Looked(station.table.number, station.table.digest("all"), epoch, station.phase, holds,
                         tuple(items), self._facts())  # fmt: skip
         peer.out.put(self.encoder.frame(answer))
--- a/thistleline/feed/source.py
+++ b/thistleline/feed/source.py
@@ -1,6 +1,7 @@
 """Who serves followers: what goes to each, and when. No I/O, no clock.
 
-Inputs:  joined peer | heard peer Message | left peer | moved | anew | writes epoch holds level | elapsed
+Inputs:  joined peer | heard peer Message | left peer | moved | anew | writes epoch holds level leader |
+         elapsed
 Effects: (send peer Message)  (close peer why)  (durable id number)
 
 A peer is a connection that wants to follow; what was sent before a `close` goes out first. After `close`
@@ -107,8 +108,8 @@
 
 class Source:
     __slots__ = (
-        *("history", "level", "now", "followers_bound", "epoch", "holds", "peers", "ready", "heard_at"),
-        *("sent_at", "snapshots", "used_at", "effects"),
+        *("history", "level", "now", "followers_bound", "epoch", "holds", "leader", "peers", "ready"),
+        *("heard_at", "sent_at", "snapshots", "used_at", "effects"),
     )
 
     def __init__(
@@ -117,6 +118,7 @@
         """`level`: 0 a keeper; a relay's is above that of what it follows."""
         self.history, self.level, self.now, self.followers_bound = history, level, now, followers_bound
         self.epoch, self.holds = 0, False  # of who writes, as far as known; whether it is this one
+        self.leader = ""  # or who does
         self.peers: dict[int, Served] = {}
         self.ready: dict[int, None] = {}  # who stands at the newest, with nothing out to it
         # The longest silent first, and of who has its Welcome who was sent to longest ago. Ordered ones: the
@@ -144,7 +146,7 @@
         table = self.history.table
         return (
             *(table.number, table.digest("all"), tuple(step[:2] for step in self.history.steps)),
-            *(self.level, self.epoch, self.holds, tuple(self.ready)),
+            *(self.level, self.epoch, self.holds, self.leader, tuple(self.ready)),
             tuple((peer, served.frozen()) for peer, served in self.peers.items()),
             tuple((peer, at - self.now) for peer, at in self.heard_at.items()),
             tuple((peer, at - self.now) for peer, at in self.sent_at.items()),
@@ -210,8 +212,9 @@
         self.snapshots.clear()  # who loads begins anew with the next part it asks for
         self._moved()
 
-    def _writes(self, epoch: int, holds: bool, level: int) -> None:
+    def _writes(self, epoch: int, holds: bool, level: int, leader: str = "") -> None:
         """Who writes, as this one knows it now, and how far below it this one is."""
+        self.leader = leader
         if (epoch, holds, level) == (self.epoch, self.holds, self.level):
             return
         self.epoch, self.holds, self.level = epoch, holds, level
@@ -256,7 +259,7 @@
     def _welcome(self, peer: int, served: Served) -> None:
         load = served.phase == "loading"
         number = served.load[0] if served.load else served.number
-        self._send(peer, Welcome(number, load, 0, self.level, self.epoch, self.holds))
+        self._send(peer, Welcome(number, load, 0, self.level, self.epoch, self.holds, self.leader))
 
     def _next(self, peer: int, served: Served) -> None:
         """With nothing out to it: what it misses, and behind that what it asked for, as new as that."""
--- a/thistleline/feed/station.py
+++ b/thistleline/feed/station.py
@@ -50,7 +50,7 @@
         self.follower = Follower(id, "all", table, sources, now, spread, level)
         self.writer = Writer(id, self.history, keepers, now) if keepers else None
         self.way = "follow"  # or "quiet", or "any" while it catches up to write
-        self.told = (0, False)  # the epoch of who writes, and whether it is this one
+        self.told = (0, False, "")  # the epoch of who writes, whether it is this one, and else who
         self.peers: dict[str, int] = {}  # by which connection a keeper came last
         self.hearing = 0
         self.kept = table.number  # what `step` and `anew` have told
@@ -80,6 +80,13 @@
     def holds(self) -> bool:
         return self.writer is not None and self.writer.phase in ("settling", "writing")
 
+    @property
+    def leader(self) -> str:
+        """Which other keeper writes, as far as this one knows."""
+        follower, welcome = self.follower, self.follower.welcome
+        known = welcome is not None and welcome.holds and follower.phase in ("loading", "following")
+        return follower.at if known and self.writer is not None else ""
+
     @property
     def phase(self) -> str:
         if self.writer is not None and self.writer.phase != "standby":
@@ -166,9 +173,7 @@
         """Who does not write can't say whether a request was made before: it says who may."""
         if told.number or self.holds:
             return told
-        follower = self.follower
-        leader = follower.at if follower.welcome is not None and follower.welcome.holds else ""
-        return msgspec.structs.replace(told, unknown=True, leader=leader)
+        return msgspec.structs.replace(told, unknown=True, leader=self.leader)
 
     def _moved(self, now: int, how: str) -> None:
         if how == "anew":
@@ -202,9 +207,10 @@
                     self._up(now, "go", way == "any", self.history.table)
         welcome = self.follower.welcome
         epoch = writer.epoch if writer is not None and self.holds else welcome.epoch if welcome else 0
-        if (epoch, self.holds) != self.told:
-            self.told = epoch, self.holds
-            self._down(now, "writes", epoch, self.holds, self.level)
+        told = epoch, self.holds, self.leader
+        if told != self.told:
+            self.told = told
+            self._down(now, "writes", epoch, self.holds, self.level, self.leader)
 
     # ---- what is asked beside
 
