While nobody writes a keeper that is behind takes what it misses from another

Keepers follow who writes alone. Without one, as when the council has no majority, a keeper that was behind stayed so, and its relays with it, for as long as that lasted.

A Welcome says where its sender stands. A keeper that meets one which neither writes nor knows who does, stands further and can go on from the keeper's own state, takes what leads there and goes on searching. Safe, as a table only ever holds what the council has decided, and what is durable counts for a writer by what it hears in its own hold.

One test changes: a keeper that is not to write took nothing at all from one that does not write.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1170,11 +1170,50 @@
     assert asks("c") == "c"
 
 
-def test_a_keeper_that_is_to_write_catches_up_from_one_that_does_not() -> None:
+def test_while_nobody_writes_a_keeper_takes_what_leads_on_from_its_state_and_goes_on_searching() -> None:
     written = Written()
     written.some(5)
     net = Net(written)
+    net.serve("a", written.history(2))
+    late = net.follow("late", "a", "b", kind="all", table=written.tables[2])
+    cold = net.follow("cold", "a", "b", kind="all")
+    with small(DELTA_BOUND=1):  # a change each
+        net.run(3 * SPREAD)
+    assert (late.table.number, cold.table.number) == (5, 0)  # nobody says that a snapshot is of this feed
+    assert len(told(net, "late", Delta)) == 3
+    assert {why for _, why in net.drops} == {"it does not write"}
     net.serve("b", written.history())
+    net.serving("b", "writes", 1, True, 0)
+    net.run(3 * SECOND)
+    net.settled()
+    assert (late.at, cold.at) == ("b", "b")
+
+
+def test_who_gets_the_lease_keeps_the_keeper_that_takes_from_it_meanwhile() -> None:
+    written = Written()
+    written.some(5)
+    net = Net(written)
+    net.serve("a", written.history(2))
+    late = net.follow("late", "a", kind="all", table=written.tables[2], spread=lambda span: 0)
+    net.tell("late", "durable", 2)
+    net.tell("late", "elapsed")
+    net.opened("late", "a")
+    with small(DELTA_BOUND=1):  # a change each
+        net.reach(net.links["late"])  # the Welcome and the first Delta are on their way
+        net.serving("a", "writes", 1, True, 0)
+        net.run(SECOND)
+    net.write(("route/x", b"x"))
+    net.run(SECOND)
+    net.settled()
+    assert (late.phase, net.drops) == ("following", [])
+    assert net.durable == [("late", 2)]
+
+
+def test_a_keeper_that_is_to_write_catches_up_from_one_that_does_not() -> None:
+    written = Written()
+    written.some(5)
+    net = Net(written)
+    net.serve("b", written.history(2))
     one = net.follow("k", "b", kind="all")
     net.run(3 * SPREAD)
     assert one.table.number == 0
--- a/thistleline/feed/follower.py
+++ b/thistleline/feed/follower.py
@@ -39,7 +39,7 @@
     __slots__ = (
         *("id", "kind", "table", "sources", "now", "spread", "level", "phase", "at", "place", "wait_until"),
         *("heard_at", "welcome", "epoch", "any", "durable", "unsure", "load", "part", "wanted", "effects"),
-        "straight",
+        *("straight", "until"),
     )
 
     def __init__(
@@ -67,6 +67,7 @@
         self.durable = 0
         self.unsure = False  # its state is not what its source calls by that number: it loads anew
         self.straight = False  # it goes where it was sent to, by one that does not write
+        self.until = 0  # the number up to which a keeper takes from one that does not write
         self.load: Table | None = None  # as far as it came
         self.part = self.wanted = 0  # the next to come, and to ask for
         self.effects: list[tuple[Any, ...]] = []
@@ -84,7 +85,8 @@
         return (
             *(self.id, self.kind, self.level, self.table.number, self.table.digest(self.kind), self.sources),
             *(self.phase, self.at, self.place, self.welcome, self.epoch, self.any, self.durable, self.unsure),
-            *(load and (load.number, load.digest(self.kind)), self.part, self.wanted, self.straight),
+            *(load and (load.number, load.digest(self.kind)), self.part, self.wanted),
+            *(self.straight, self.until),
             *(self.wait_until - self.now if self.phase == "waiting" else 0,),
             *(self.heard_at - self.now if self.at else 0,),
         )
@@ -187,7 +189,7 @@
     def _wait(self) -> None:
         """The next one, after a wait of its own: guards against all of a dead one's coming at once. Keepers
         are few, and the relays wait for what they find."""
-        self.phase, self.at, self.load, self.straight = "waiting", "", None, False
+        self.phase, self.at, self.load, self.straight, self.until = "waiting", "", None, False, 0
         self.place = (self.place + 1) % max(1, len(self.sources))
         keeper = self.kind == "all" and not self.level
         self.wait_until = self.now + self.spread(SPREAD // 4 if keeper else SPREAD)
@@ -213,6 +215,9 @@
             self._leave("out of bounds")
             return
         self.welcome = told
+        if self._lends(told):
+            self.phase, self.until = "following", told.newest
+            return
         if not self._fits(told):
             # Once: guards against two that send it to each other.
             straight = not self.level and not self.straight and told.leader in self.sources
@@ -221,7 +226,7 @@
                 self.straight, self.place = True, self.sources.index(told.leader)
                 self.wait_until = self.now
             return
-        self.epoch = max(self.epoch, told.epoch)
+        self.epoch, self.until = max(self.epoch, told.epoch), 0
         if told.load:
             if told.number < self.table.number:
                 self._leave("its snapshot is older")
@@ -237,6 +242,15 @@
         elif self.phase != "following":  # there it only tells anew who writes
             self._leave("out of turn")
 
+    def _lends(self, told: Welcome) -> bool:
+        """Whether a keeper that finds nobody who writes takes from this one what leads on from its own
+        state: no more than that was ever decided. No snapshot, as nobody says that it is of this feed."""
+        return (
+            (self.kind, self.level, told.level, self.phase) == ("all", 0, 0, "greeting")
+            and not (self._fits(told) or told.leader or told.load or self.unsure)
+            and told.number == self.table.number < told.newest
+        )
+
     def _want(self) -> None:
         assert self.welcome is not None
         self._send(Want(self.welcome.number, self.wanted))
@@ -254,7 +268,10 @@
         else:
             self.table = table
             self.effects.append(("took", told))
-            self._have()
+            if 0 < self.until <= told.last:
+                self._leave("it does not write")
+            else:
+                self._have()
 
     def _part(self, told: Part) -> None:
         if self.phase != "loading" or self.load is None or self.welcome is None:
--- a/thistleline/feed/messages.py
+++ b/thistleline/feed/messages.py
@@ -80,7 +80,8 @@
 
 class Welcome(msgspec.Struct, frozen=True, tag="welcome"):
     """How it goes on: with changes, or `load` with the snapshot `number` in `parts` parts. `epoch`: of who
-    writes, as far as known; `holds`: it is the one that writes; else a keeper names that one as `leader`."""
+    writes, as far as known; `holds`: it is the one that writes; else a keeper names that one as `leader`.
+    `newest`: where this one stands."""
 
     number: int
     load: bool
@@ -89,6 +90,7 @@
     epoch: int
     holds: bool
     leader: str = ""
+    newest: int = 0
 
 
 class Refused(msgspec.Struct, frozen=True, tag="refused"):
--- a/thistleline/feed/source.py
+++ b/thistleline/feed/source.py
@@ -259,7 +259,8 @@
     def _welcome(self, peer: int, served: Served) -> None:
         load = served.phase == "loading"
         number = served.load[0] if served.load else served.number
-        self._send(peer, Welcome(number, load, 0, self.level, self.epoch, self.holds, self.leader))
+        newest = self.history.table.number
+        self._send(peer, Welcome(number, load, 0, self.level, self.epoch, self.holds, self.leader, newest))
 
     def _next(self, peer: int, served: Served) -> None:
         """With nothing out to it: what it misses, and behind that what it asked for, as new as that."""
--- a/thistleline/lab/feedmutants.py
+++ b/thistleline/lab/feedmutants.py
@@ -92,6 +92,15 @@
     return world
 
 
+def _nobody_writes() -> FeedWorld:
+    """k2 is two changes behind, whoever wrote has lost the lease and nobody has it."""
+    world = changed(fleet(relays=0, instances=0), 1)
+    world = changed(world, 2, lambda name: name == "k2")
+    world.lose("k0")
+    world.end("k2")
+    return world
+
+
 def _tenants() -> FeedWorld:
     """A change is on its way to the instance, which asks for a tenant that the next one takes away."""
     world = _on_its_way(changed(fleet(keepers=1), 4))
@@ -133,6 +142,7 @@
         Scenario("ring full", _ring_full, changes=2, restarts=1, moves=1, ticks=1),
         Scenario("unanswered", _unanswered, changes=1, again=1, losses=1, moves=1, restarts=1),
         Scenario("late keeper", _late_keeper, changes=1, moves=1, restarts=1, ends=1),
+        Scenario("nobody writes", _nobody_writes, changes=1, moves=1, restarts=1, ends=1),
         Scenario("older relay", _older_relay, changes=1, ends=1, ticks=1),
         Scenario("two relays", _two_relays, changes=2, ends=2, restarts=1, restarted=("r0", "r1", "i0")),
     )
