What exploring found is accounted for in one place, for the leases and the feed

Both labs had the same account of scenarios explored and protections left out, one over processes and one in its own, and the same maker of mutants. Each now brings its runs in order, from a pool or one after another, and lab/mutants.account tells and judges them.

--- a/thistleline/lab/feedmutants.py
+++ b/thistleline/lab/feedmutants.py
@@ -17,7 +17,7 @@
 from thistleline.feed.writer import Writer
 from thistleline.lab.explore import Explored, explore
 from thistleline.lab.feedworld import FeedWorld, Scenario, begin, changed, fleet, following, settle
-from thistleline.lab.mutants import Mutant, without
+from thistleline.lab.mutants import account, mutant, without
 from thistleline.lease.table import Table as Council
 
 DEPTH = 60
@@ -226,28 +226,24 @@
         self._drop_line("no answer")
 
 
-def _mutant(what: str, scenario: str, *patch: Any, quick: bool = True) -> Mutant:
-    return Mutant(what, tuple(patch[place : place + 3] for place in range(0, len(patch), 3)), scenario, quick)
-
-
 MUTANTS = (
-    _mutant("resume: a state is gone on from by its digest too", "another's state",
+    mutant("resume: a state is gone on from by its digest too", "another's state",
             History, "knows", _by_number),
-    _mutant("a change is taken with its digest alone", "a change under way",
+    mutant("a change is taken with its digest alone", "a change under way",
             Follower, "_delta", _taken_anyhow),
-    _mutant("a snapshot is taken with its digest alone", "cold instance",
+    mutant("a snapshot is taken with its digest alone", "cold instance",
             Follower, "_part", _part_taken_anyhow),
-    _mutant("whole changes: no part counts before the last", "cold instance",
+    mutant("whole changes: no part counts before the last", "cold instance",
             Follower, "_part", _part_counts),
-    _mutant("no older state is taken", "older relay", Follower, "_welcomed", _older_too,
+    mutant("no older state is taken", "older relay", Follower, "_welcomed", _older_too,
             Source, "_follow", _serves_ahead),
-    _mutant("a tenant is told and taken at the number held", "tenants", Lookups, "_told", _of_any_number,
+    mutant("a tenant is told and taken at the number held", "tenants", Lookups, "_told", _of_any_number,
             Source, "_newest", _always),
-    _mutant("the fence", "deposed writer", Council, "_put", _any_epoch),
-    _mutant("the cut rule: a majority has it on disk first", "ring full", Writer, "_free", _always),
-    _mutant("durable is what the disk has", "ring full", Follower, "_have", _at_once_durable),
-    _mutant("who takes over goes on from the records", "unanswered", Writer, "_enter", _own_table),
-    _mutant("a Put without an answer is settled by reading", "unanswered", Writer, "_put_unknown",
+    mutant("the fence", "deposed writer", Council, "_put", _any_epoch),
+    mutant("the cut rule: a majority has it on disk first", "ring full", Writer, "_free", _always),
+    mutant("durable is what the disk has", "ring full", Follower, "_have", _at_once_durable),
+    mutant("who takes over goes on from the records", "unanswered", Writer, "_enter", _own_table),
+    mutant("a Put without an answer is settled by reading", "unanswered", Writer, "_put_unknown",
             _taken_for_refused, Writer, "_put_denied", _taken_for_refused),
 )  # fmt: skip
 
@@ -263,31 +259,16 @@
 
 def hunted(place: int, states: int) -> Explored:
     """Where it begins is come to with the protection in."""
-    mutant = MUTANTS[place]
+    left_out = MUTANTS[place]
     with without(SMALL):
-        world = _begun(mutant.scenario)
-        with without(mutant.patches):
+        world = _begun(left_out.scenario)
+        with without(left_out.patches):
             return explore(world, following, DEPTH, states)
 
 
 def prove(states: int, tell: Callable[[str], None]) -> tuple[dict[str, Any], bool, bool]:
     """Explores each scenario to so many states, and each mutant till its fault shows, 6,000 at the least, in
     this process. Whether all held that should, and whether all broke that should."""
-    figures: dict[str, Any] = {}
-    good, caught, total = True, True, 0
-    for what in SCENARIOS:
-        found = explored(what, states)
-        total += found.states
-        good &= not found.wrong
-        figures[what] = {"states": found.states, "depth": found.depth, "whole": found.whole}
-        if found.wrong:
-            figures[what] |= {"wrong": found.wrong, "trace": found.trace}
-        tell(f"feed: explored, {what}: {figures[what]}")
-    figures["states"] = total
-    for place, mutant in enumerate(MUTANTS):
-        found = hunted(place, max(6_000, states))
-        caught &= bool(found.wrong)
-        told = {"steps": len(found.trace), "wrong": found.wrong, "states": found.states}
-        figures[f"without: {mutant.what}"] = told
-        tell(f"feed: without: {mutant.what}: {told}")
-    return figures, good, caught
+    runs = (explored(what, states) for what in SCENARIOS)
+    hunts = (hunted(place, max(6_000, states)) for place in range(len(MUTANTS)))
+    return account(SCENARIOS, MUTANTS, runs, hunts, lambda line: tell(f"feed: {line}"))
--- a/thistleline/lab/mutants.py
+++ b/thistleline/lab/mutants.py
@@ -1,7 +1,7 @@
 """Each protection taken out in turn: the exploration has to find what it guards against."""
 
 import os
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
 from typing import Any, NamedTuple
@@ -39,6 +39,11 @@
     quick: bool = True  # found among the first few thousand states
 
 
+def mutant(what: str, scenario: str, *patch: Any, quick: bool = True) -> Mutant:
+    """`patch`: where, a name there and what takes its place, one after another."""
+    return Mutant(what, tuple(patch[place : place + 3] for place in range(0, len(patch), 3)), scenario, quick)
+
+
 @contextmanager
 def without(patches: tuple[tuple[Any, str, Any], ...]) -> Iterator[None]:
     before = [(where, name, getattr(where, name)) for where, name, _ in patches]
@@ -330,29 +335,25 @@
     return length
 
 
-def _mutant(what: str, scenario: str, *patch: Any, quick: bool = True) -> Mutant:
-    return Mutant(what, tuple(patch[place : place + 3] for place in range(0, len(patch), 3)), scenario, quick)
-
-
 MUTANTS = (
-    _mutant("a vote is durable before it is told", "standing", Voter, "_once_saved", _vote_told_at_once),
-    _mutant("a vote is kept at all", "standing", Voter, "_ballot", _ballot_not_kept),
-    _mutant("votes go to a log that is not behind", "behind", Voter, "_asked", _any_log),
-    _mutant("only entries of its own term are counted", "undecided of an earlier term",
+    mutant("a vote is durable before it is told", "standing", Voter, "_once_saved", _vote_told_at_once),
+    mutant("a vote is kept at all", "standing", Voter, "_ballot", _ballot_not_kept),
+    mutant("votes go to a log that is not behind", "behind", Voter, "_asked", _any_log),
+    mutant("only entries of its own term are counted", "undecided of an earlier term",
             Voter, "_commit", _commit_any_term, voting, "ENTRIES_BOUND", 1),
-    _mutant("a round confirms the leader before it answers", "unaware, and the leader deposed",
+    mutant("a round confirms the leader before it answers", "unaware, and the leader deposed",
             Voter, "_read", _read_at_once),
-    _mutant("answers wait for all that stands in the log", "unaware of its grant",
+    mutant("answers wait for all that stands in the log", "unaware of its grant",
             Voter, "_read", _read_decided, quick=False),
-    _mutant("the right counts from before the request", "late answer", Hold, "_granted", _from_the_answer),
-    _mutant("the right allows for drift", "nearly over", holding, "right", _whole),
-    _mutant("a new leader counts anew", "deposed leader", Watch, "begin", _remembers),
-    _mutant("who is heard is counted on", "renewed", Watch, "heard", _unasked),
-    _mutant("an expiry does not end what was touched since", "asked again",
+    mutant("the right counts from before the request", "late answer", Hold, "_granted", _from_the_answer),
+    mutant("the right allows for drift", "nearly over", holding, "right", _whole),
+    mutant("a new leader counts anew", "deposed leader", Watch, "begin", _remembers),
+    mutant("who is heard is counted on", "renewed", Watch, "heard", _unasked),
+    mutant("an expiry does not end what was touched since", "asked again",
             Table, "_expire", _touched_or_not, quick=False),
-    _mutant("epochs are one count for all names", "freed", Table, "_grant", _own_count),
-    _mutant("what was given back is not granted again", "wish doubled", tables, "OVER_BOUND", 0),
-    _mutant("the fence", "act in flight", Marks, "judge", _all_pass),
+    mutant("epochs are one count for all names", "freed", Table, "_grant", _own_count),
+    mutant("what was given back is not granted again", "wish doubled", tables, "OVER_BOUND", 0),
+    mutant("the fence", "act in flight", Marks, "judge", _all_pass),
 )  # fmt: skip
 
 
@@ -361,33 +362,44 @@
 
 
 def _hunted(place: int, states: int) -> Explored:
-    mutant = MUTANTS[place]
-    with without(mutant.patches):
-        return explore(begin(SCENARIOS[mutant.scenario]), following, DEPTH, states)
+    left_out = MUTANTS[place]
+    with without(left_out.patches):
+        return explore(begin(SCENARIOS[left_out.scenario]), following, DEPTH, states)
 
 
 def prove(states: int, tell: Callable[[str], None]) -> tuple[dict[str, Any], bool]:
     """Explores each scenario to so many states, and each mutant till its fault shows, 100,000 at the least.
     Whether all held that should, and all broke that should."""
-    figures: dict[str, Any] = {}
-    good = True
     with ProcessPoolExecutor(os.cpu_count()) as pool:
-        runs = {what: pool.submit(_explored, what, states) for what in SCENARIOS}
+        runs = [pool.submit(_explored, what, states) for what in SCENARIOS]
         hunts = [pool.submit(_hunted, place, max(100_000, states)) for place in range(len(MUTANTS))]
-        total = 0
-        for what, run in runs.items():
-            found = run.result()
-            total += found.states
-            good &= not found.wrong
-            figures[what] = {"states": found.states, "depth": found.depth, "whole": found.whole}
-            if found.wrong:
-                figures[what] |= {"wrong": found.wrong, "trace": found.trace}
-            tell(f"{what}: {figures[what]}")
-        figures["states"] = total
-        for mutant, hunt in zip(MUTANTS, hunts, strict=True):
-            found = hunt.result()
-            good &= bool(found.wrong)
-            told = {"steps": len(found.trace), "wrong": found.wrong, "states": found.states}
-            figures[f"without: {mutant.what}"] = told
-            tell(f"without: {mutant.what}: {told}")
-    return figures, good
+        found = (one.result() for one in runs), (one.result() for one in hunts)
+        figures, good, caught = account(SCENARIOS, MUTANTS, *found, tell)
+    return figures, good and caught
+
+
+def account(
+    scenarios: Iterable[str],
+    mutants: Iterable[Mutant],
+    runs: Iterable[Explored],
+    hunts: Iterable[Explored],
+    tell: Callable[[str], None],
+) -> tuple[dict[str, Any], bool, bool]:
+    """What was found of each scenario and each mutant, in their order. Whether all held that should, and
+    whether all broke that should."""
+    figures: dict[str, Any] = {}
+    good, caught, total = True, True, 0
+    for what, found in zip(scenarios, runs, strict=True):
+        total += found.states
+        good &= not found.wrong
+        figures[what] = {"states": found.states, "depth": found.depth, "whole": found.whole}
+        if found.wrong:
+            figures[what] |= {"wrong": found.wrong, "trace": found.trace}
+        tell(f"{what}: {figures[what]}")
+    figures["states"] = total
+    for one, found in zip(mutants, hunts, strict=True):
+        caught &= bool(found.wrong)
+        told = {"steps": len(found.trace), "wrong": found.wrong, "states": found.states}
+        figures[f"without: {one.what}"] = told
+        tell(f"without: {one.what}: {told}")
+    return figures, good, caught
