A keeper finds a place at the writer where instances have taken all others

Whoever may follow a keeper counted in its bound alike. With 1,024 instances, or as many strangers, at the one that writes, the other keepers were refused as 'full', a majority never had the changes on disk, and after 16 groups all changes were refused.

Eight places beside the bound are for keepers alone. Which of them comes is known with its first word, so the bound is heeded there; the bound of connections stays as it was.

The story (two of four followers find a place, then eight keepers, a ninth is refused): before no keeper found one.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1170,6 +1170,26 @@
     assert asks("c") == "c"
 
 
+def test_a_keeper_finds_a_place_where_all_are_taken() -> None:
+    written = Written()
+    written.some(3)
+    net = Net(written)
+    net.serve("a", written.history(), bound=2)
+    net.serving("a", "writes", 1, True, 0)
+    for id in ("x", "y", "z"):
+        net.follow(id, "a")
+    net.relay("r", "a", level=1)
+    net.run(3 * SECOND)
+    keepers = [net.follow(f"k{place}", "a", kind="all") for place in range(8)]
+    net.run(3 * SECOND)
+    assert [one.table.number for one in keepers] == [3] * 8
+    assert Counter(net.follower(id).table.number for id in ("x", "y", "z", "r")) == {3: 2, 0: 2}
+    net.follow("k", "a", kind="all")
+    net.run(3 * SECOND)
+    assert net.follower("k").table.number == 0
+    assert len(net.sources["a"].peers) <= 2 + 8
+
+
 def test_while_nobody_writes_a_keeper_takes_what_leads_on_from_its_state_and_goes_on_searching() -> None:
     written = Written()
     written.some(5)
--- a/thistleline/feed/source.py
+++ b/thistleline/feed/source.py
@@ -43,6 +43,7 @@
 from thistleline.feed.table import TENANT, Table
 
 LEVEL_BOUND = 64
+KEEPERS_SPARE = 8  # places for keepers alone: guards against no change any more where all others are taken
 DIGEST_SIZE = 16  # bytes
 SNAPSHOT_KEPT = 60 * SECOND  # after that long without a part asked for, a snapshot goes
 NEVER = 1 << 62
@@ -170,7 +171,7 @@
         )
 
     def _joined(self, peer: int) -> None:
-        if len(self.peers) >= self.followers_bound:
+        if len(self.peers) >= self.followers_bound + KEEPERS_SPARE:
             self._refuse(peer, "full")
             return
         self.peers[peer] = Served()
@@ -332,7 +333,10 @@
             or len(told.digest) > DIGEST_SIZE
         ):
             return "out of bounds"
-        if not self._below(told.kind, told.level):
+        keeper = told.kind == "all" and not told.level
+        if not keeper and len(self.peers) > self.followers_bound:
+            self._refuse(peer, "full")
+        elif not self._below(told.kind, told.level):
             self._refuse(peer, "not below")
         elif told.number > self.history.table.number:
             self._refuse(peer, "behind")
