Strangers with ever new names no longer fill the log of a keeper or relay

What is refused, lost or dropped is logged once for each name till something else is to be said of it. A name is a stranger's word: each connection with another one is a line, as fast as connections come.

At the most 32 such lines a second now; what is beyond that is said the next time. The program's own events are not counted. 100 strangers with a name each: 100 lines before, 32 now within what counts as one second.

--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -19,8 +19,8 @@
 import pytest
 
 from thistleline.conf.schema import Faulty, Feed, check
-from thistleline.feed import link
-from thistleline.feed.bounds import MESSAGE_BOUND, RING
+from thistleline.feed import link, service
+from thistleline.feed.bounds import MESSAGE_BOUND, RING, SECOND
 from thistleline.feed.client import look, propose
 from thistleline.feed.history import Items
 from thistleline.feed.link import OUT_BOUND, Encoder, Outgoing, Rounds
@@ -507,6 +507,20 @@
         keeper.close()
 
 
+def test_strangers_with_ever_new_names_do_not_fill_the_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service, "SECOND", 3600 * SECOND)  # the second is not over while this runs
+
+    async def story(relay: FeedService) -> None:
+        for place in range(100):
+            async with await anyio.connect_tcp(*relay.listen) as stream:
+                await stream.send(sealed(encode(Hello("follower", f"x{place}"))) + sealed(encode(Have(1))))
+                with suppress(*ENDS):
+                    while True:
+                        await stream.receive()
+
+    assert 1 < sum(event == "refused" for event, _ in in_process(story)) <= 32
+
+
 def test_those_who_only_connect_keep_nobody_out() -> None:
     """Some say who they are and nothing more, some not even that; one follows, and stays."""
     hello = sealed(encode(Hello("follower", "x")))
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -41,6 +41,7 @@
 LOOK_BOUND, LOOK_SIZE = 128, MESSAGE_BOUND // 2  # keys, bytes of values in one answer
 GET_SPAN = 0.8  # s; the writer asks each second
 ACCEPT_PAUSE = 0.1  # s after one that came to nothing
+SAID_BOUND = 32  # lines a second of what others do
 LEAVE_SPAN = 3.0  # s to give the lease back and to write down what waits
 
 
@@ -77,6 +78,7 @@
         self.leaving = False
         self.given_back = anyio.Event()
         self.told: dict[str, str] = {}  # what was last said of somebody
+        self.said = self.said_until = 0  # how much was said in this second, and when that is over
         self.phase = ("", "")  # what was last said of itself
 
     def _spread(self, span: int) -> int:
@@ -181,12 +183,18 @@
     # ---- effects
 
     def _say(self, what: str, of: str, why: str) -> None:
-        """Once, till something else is to be said of the same one."""
+        """Once, till something else is to be said of the same one; so many a second at most: guards against
+        a log that is as long as strangers want, each by a name of its own."""
+        now = boot_now()
+        if now >= self.said_until:
+            self.said, self.said_until = 0, now + SECOND
+        if self.told.get(of) == why or self.said == SAID_BOUND:
+            return
         if len(self.told) > 1024:
             self.told.clear()
-        if self.told.get(of) != why:
-            self.told[of] = why
-            self.log(what, of=of, why=why)
+        self.told[of] = why
+        self.said += 1
+        self.log(what, of=of, why=why)
 
     def _carry_out(self, kind: str, *told: Any) -> None:
         if kind == "up":
