An export is the newest state, also where changes lead to it in several steps

'feed export' took the state that was there once it followed. Where the one asked has all changes since the beginning, it is followed at once, from the empty table on: what came out could be nothing at all, or a state some steps before the newest, with exit code 0. An operator is told to rescue what a relay has in just this way.

It waits for the number at which the one asked stood then, which its Welcome tells.

With 200 changes of 4 KB (four Deltas) and a look at each turn of the loop the empty table was taken for all of it; now all 200 are there. By its pace, a look each 20 ms, it came right on loopback: the fault needs a slower way or more changes.

--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -21,7 +21,7 @@
 from thistleline.conf.schema import Faulty, Feed, check
 from thistleline.feed import link, service
 from thistleline.feed.bounds import MESSAGE_BOUND, RING, SECOND
-from thistleline.feed.client import look, propose
+from thistleline.feed.client import look, propose, snapshot
 from thistleline.feed.history import Items
 from thistleline.feed.link import OUT_BOUND, Encoder, Outgoing, Rounds
 from thistleline.feed.messages import (
@@ -521,6 +521,23 @@
     assert 1 < sum(event == "refused" for event, _ in in_process(story)) <= 32
 
 
+def test_an_export_is_all_that_was_there_also_where_changes_lead_to_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """More of them than go into one Delta; who exports looks at each turn of the loop."""
+    sleep = anyio.sleep
+
+    async def story(relay: FeedService) -> None:
+        monkeypatch.setattr(anyio, "sleep", lambda span: sleep(0))
+        for place in range(200):
+            relay.station.history.move(place + 1, ((f"common/{place}", bytes(4000), place + 1),))
+        table = await snapshot({"r": relay.listen}, 10.0)
+        assert table is not None
+        assert (table.number, len(table.wide)) == (200, 200)
+
+    in_process(story)
+
+
 def test_those_who_only_connect_keep_nobody_out() -> None:
     """Some say who they are and nothing more, some not even that; one follows, and stays."""
     hello = sealed(encode(Hello("follower", "x")))
--- a/thistleline/feed/client.py
+++ b/thistleline/feed/client.py
@@ -209,7 +209,8 @@
             while following.follower.phase != "following":
                 await anyio.sleep(0.02)
             welcome = following.follower.welcome
-            await following.beyond(welcome.number if welcome is not None else 0)
+            # Guards against a state on the way there: changes may lead to it, in several steps.
+            await following.beyond(max(welcome.number, welcome.newest) if welcome is not None else 0)
             done = True
             group.cancel_scope.cancel()
     return following.table if done else None
