Why a keeper's word on its disk is heeded in Station, with a test that holds it there

The guard against a keeper that lost its disk was to go to Source, where followers come. There it would miss one: a keeper that finds no place is closed before its Follow is heard, and a writer would go on counting what that disk had. It stays in Station; the test fails where only accepted followers reset what is counted. Behaviour as it was.

--- a/tests/test_feed_writer.py
+++ b/tests/test_feed_writer.py
@@ -27,7 +27,7 @@
 )
 from thistleline.feed.check import fault
 from thistleline.feed.history import History
-from thistleline.feed.messages import Change, Group, Propose, Proposed, decode_group, encode
+from thistleline.feed.messages import Change, Follow, Group, Propose, Proposed, decode_group, encode
 from thistleline.feed.station import Station
 from thistleline.feed.table import Table
 from thistleline.feed.writer import ASK_AGAIN, CATCH_UP_SPAN, LINE_SIZE, Writer, key_of
@@ -683,6 +683,18 @@
     assert world.acked == {f"c{place}": place + 1 for place in range(5)}
 
 
+def test_a_keeper_that_lost_its_disk_counts_no_more_also_where_it_finds_no_place() -> None:
+    one = Station("a", 0, Table(), ("b", "c"), 0, lambda span: 0, KEEPERS, bound=0)
+    assert one.writer is not None
+    one.take(0, "writer", "durable", "b", 5)
+    for peer in range(8):  # places that are for keepers alone
+        one.take(0, "down", "joined", peer)
+    effects = one.take(0, "down", "joined", 8)
+    assert [effect[0] for effect in effects] == ["down", "close"]
+    one.take(0, "down", "heard", 8, Follow("b", "all", 0, bytes(16)))
+    assert one.writer.durable == {"b": 0}
+
+
 def test_a_keeper_says_who_writes_while_it_follows_that_one_and_no_longer() -> None:
     world = fleet(relays=0, instances=0)
 
--- a/thistleline/feed/station.py
+++ b/thistleline/feed/station.py
@@ -136,7 +136,8 @@
     def _heard(self, now: int, kind: str, peer: int, *told: Any) -> None:
         message = told[0] if told else None
         if self.writer is not None and isinstance(message, Follow) and self._is_keeper(message):
-            # Guards against a keeper that lost its disk and is counted for what it had.
+            # Guards against a keeper that lost its disk and is counted for what it had; here, as one that the
+            # source refuses says so too.
             self.peers[message.id] = peer
             self._write(now, "durable", message.id, 0)
         self.hearing = peer
