A state that was given up while it was written is not told as durable

A keeper whose state turns out to be another than its source's loads anew and says from then on that nothing is durable, till the new state is. The write that was under way went on and told its number all the same, and so did one whose end waited for its round: the writer counted a disk that had the state which was given up. It takes a damaged state, a crash of that keeper before the next write, and the loss of another's disk to lose a change by it; nothing else kept it off.

Which line of states a write is of is noted as it begins and looked at again as its end is told and heeded. Told before: 0, 2 of the state given up, 3; now 0 and 3.

--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack, suppress
@@ -36,6 +37,7 @@
     decode_source,
     encode,
 )
+from thistleline.feed.persist import Persist
 from thistleline.feed.service import LOOK_BOUND, FeedService
 from thistleline.feed.table import Table
 from thistleline.lab.feedfleet import FeedFleet
@@ -559,6 +561,46 @@
     in_process(story)
 
 
+def test_a_state_that_was_given_up_while_it_was_written_is_not_told_as_durable(tmp_path: Path) -> None:
+    """A write is under way as another state is loaded, or its end is known and not heeded yet."""
+    goes_on, told = threading.Event(), list[int]()
+    of_another = Table().moved(2, (("common/of-another", b"{}", 2),))
+    loaded = Table().moved(3, (("common/a", b"{}", 3),))
+    persist = Persist(tmp_path / "one", "all", lambda *_, **__: None, told.append)
+    written: Any = persist.archive.write
+    persist.archive.write = lambda *told: goes_on.wait(10) and written(*told)  # type: ignore[method-assign]
+
+    async def story() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(persist.run)
+            persist.step(of_another, 0, (("common/of-another", b"{}", 2),))
+            while persist.waits:
+                await anyio.sleep(0.001)
+            persist.anew(loaded)
+            goes_on.set()
+            while persist.durable != 3:
+                await anyio.sleep(0.001)
+            await persist.flushed()
+            group.cancel_scope.cancel()
+
+    anyio.run(story)
+    persist.close()
+    assert told == [0, 3]
+    at, nowhere = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
+    conf = Feed(name="r", listen=at, role="relay", level=1, up={"k": nowhere}, folder=tmp_path / "two")
+    relay = FeedService(conf, None, lambda *_, **__: None)
+    assert relay.persist is not None
+    relay.station.follower.table = loaded
+    relay.persist.tell(2)
+    relay.persist.anew(loaded)
+    relay.persist.tell(3)
+    for _, *rest in relay.rounds.take():
+        relay._on_durable(*rest)
+        assert relay.station.follower.durable in (0, 3)
+    assert relay.station.follower.durable == 3
+    relay.persist.close()
+
+
 def test_one_object_for_many_is_encoded_once_and_who_takes_nothing_is_let_go() -> None:
     encoder = Encoder()
     delta = Delta(1, 2, (("common/x", b"{}", 2),), bytes(16))
--- a/thistleline/feed/persist.py
+++ b/thistleline/feed/persist.py
@@ -35,6 +35,7 @@
         if self.archive.why:
             log("archive", why=self.archive.why)
         self.steps: list[Step] = []
+        self.line = 0  # how often there was a state that nothing led to
         self.waits = False
         self.more, self.done = anyio.Event(), anyio.Event()
         self.failing = ""
@@ -51,6 +52,7 @@
 
     def anew(self, table: Table) -> None:
         self.table = table
+        self.line += 1
         self.steps.clear()
         self._wake()
 
@@ -67,7 +69,7 @@
                 self.more = anyio.Event()
                 await self.more.wait()
                 self.done = anyio.Event()
-            table, steps = self.table, self.steps
+            table, steps, line = self.table, self.steps, self.line
             self.steps, self.waits = [], False
             try:
                 durable = await anyio.to_thread.run_sync(self.archive.write, table, steps)
@@ -77,7 +79,8 @@
                 await anyio.sleep(AGAIN)
             else:
                 self._of_disk("")
-                self.tell(durable)
+                if line == self.line:  # else it may be the number of a state that was given up
+                    self.tell(durable)
 
     def _of_disk(self, why: str) -> None:
         if why != self.failing:
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -85,7 +85,8 @@
         return self.chance.randrange(span + 1)
 
     def _durable(self, number: int) -> None:
-        self.rounds.put("durable", number)
+        assert self.persist is not None
+        self.rounds.put("durable", number, self.persist.line)
 
     # ---- the program
 
@@ -168,8 +169,9 @@
             self._say("lost", told[1], told[2])
         self._take("up", *told)
 
-    def _on_durable(self, number: int) -> None:
-        self._take("durable", number)
+    def _on_durable(self, number: int, line: int) -> None:
+        if self.persist is not None and line == self.persist.line:
+            self._take("durable", number)
 
     def _on_lease(self, kind: str, told: Any) -> None:
         self.epoch = told if kind == "held" else 0
