--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -57,6 +57,7 @@
 )
 from thistleline.feed.source import SNAPSHOT_KEPT, Snapshot, Source
 from thistleline.feed.table import Table
+from thistleline.links.ends import ENDS
 
 Entries = tuple[tuple[str, bytes | None], ...]
 
@@ -1067,6 +1068,25 @@
     assert [one.load for one in told(net, "x", Welcome)] == [False]
 
 
+def test_who_stands_inside_a_step_with_another_state_loads_anew() -> None:
+    """That step leads it to another digest; the next one has the same step."""
+    written = Written()
+    written.some(6)
+    history = History(written.tables[2])
+    history.move(
+        5, tuple((key, value, number) for number in (3, 4, 5) for key, value in written.changes[number])
+    )
+    net = Net(written)
+    for name in ("a", "b"):
+        net.serve(name, history.copy())
+    strange = Table().moved(4, (("route/strange", b"{}", 1),))
+    net.follow("x", "a", "b", table=strange)
+    net.run(6 * SECOND)
+    assert [why for _, why in net.drops] == ["another digest"]
+    table = net.follower("x").table
+    assert (table.number, table.digest("wide")) == (5, history.table.digest("wide"))
+
+
 def test_a_relay_that_loads_anew_has_its_followers_follow_suit() -> None:
     written = Written()
     written.some(5)
@@ -1131,11 +1151,89 @@
     assert net.follower("k").at == "b"
 
 
-def test_a_keeper_that_is_to_write_catches_up_from_one_that_does_not() -> None:
+def test_a_keeper_goes_straight_to_who_writes_and_is_sent_on_by_each_but_once() -> None:
+    one = Follower("k", "all", Table(), ("a", "b", "c"), 0, lambda span: span)
+
+    def asks(leader: str) -> str:
+        """Whom it asks at once, having been told by the next that this one writes."""
+        now = one.due()
+        connects = one.take(now, "elapsed")
+        at = connects[0][1]
+        one.take(now, "connected", at)
+        assert one.take(now, "heard", at, Welcome(0, False, 0, 0, 1, False, leader))[0][0] == "drop"
+        return one.sources[one.place] if one.due() == now else ""
+
+    assert asks("") == ""
+    assert asks("nobody") == ""
+    assert asks("a") == "a"
+    assert asks("c") == ""  # two that send it to each other cost a wait for each round
+    assert asks("c") == "c"
+
+
+def test_a_keeper_finds_a_place_where_all_are_taken() -> None:
+    written = Written()
+    written.some(3)
+    net = Net(written)
+    net.serve("a", written.history(), bound=2)
+    net.serving("a", "writes", 1, True, 0)
+    for id in ("x", "y", "z"):
+        net.follow(id, "a")
+    net.relay("r", "a", level=1)
+    net.run(3 * SECOND)
+    keepers = [net.follow(f"k{place}", "a", kind="all") for place in range(8)]
+    net.run(3 * SECOND)
+    assert [one.table.number for one in keepers] == [3] * 8
+    assert Counter(net.follower(id).table.number for id in ("x", "y", "z", "r")) == {3: 2, 0: 2}
+    net.follow("k", "a", kind="all")
+    net.run(3 * SECOND)
+    assert net.follower("k").table.number == 0
+    assert len(net.sources["a"].peers) <= 2 + 8
+
+
+def test_while_nobody_writes_a_keeper_takes_what_leads_on_from_its_state_and_goes_on_searching() -> None:
     written = Written()
     written.some(5)
     net = Net(written)
+    net.serve("a", written.history(2))
+    late = net.follow("late", "a", "b", kind="all", table=written.tables[2])
+    cold = net.follow("cold", "a", "b", kind="all")
+    with small(DELTA_BOUND=1):  # a change each
+        net.run(3 * SPREAD)
+    assert (late.table.number, cold.table.number) == (5, 0)  # nobody says that a snapshot is of this feed
+    assert len(told(net, "late", Delta)) == 3
+    assert {why for _, why in net.drops} == {"it does not write"}
     net.serve("b", written.history())
+    net.serving("b", "writes", 1, True, 0)
+    net.run(3 * SECOND)
+    net.settled()
+    assert (late.at, cold.at) == ("b", "b")
+
+
+def test_who_gets_the_lease_keeps_the_keeper_that_takes_from_it_meanwhile() -> None:
+    written = Written()
+    written.some(5)
+    net = Net(written)
+    net.serve("a", written.history(2))
+    late = net.follow("late", "a", kind="all", table=written.tables[2], spread=lambda span: 0)
+    net.tell("late", "durable", 2)
+    net.tell("late", "elapsed")
+    net.opened("late", "a")
+    with small(DELTA_BOUND=1):  # a change each
+        net.reach(net.links["late"])  # the Welcome and the first Delta are on their way
+        net.serving("a", "writes", 1, True, 0)
+        net.run(SECOND)
+    net.write(("route/x", b"x"))
+    net.run(SECOND)
+    net.settled()
+    assert (late.phase, net.drops) == ("following", [])
+    assert net.durable == [("late", 2)]
+
+
+def test_a_keeper_that_is_to_write_catches_up_from_one_that_does_not() -> None:
+    written = Written()
+    written.some(5)
+    net = Net(written)
+    net.serve("b", written.history(2))
     one = net.follow("k", "b", kind="all")
     net.run(3 * SPREAD)
     assert one.table.number == 0
@@ -1860,6 +1958,20 @@
     assert (twin.follower.phase, view.follower.phase) == ("waiting", "following")
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        encode(Delta(1, 2, (("route/x", b"{}", -1),), bytes(16))),
+        encode(Part(1, 0, 1, (("route/x", b"{}", -1),), bytes(16))),
+        b"\x82\xa4type\xa4beat\xa1x" + b"\x91" * 3000 + b"\x01",  # a list in a list in a list
+    ],
+    ids=("delta", "part", "deep"),
+)
+def test_what_no_source_says_ends_its_link_and_not_the_follower(message: bytes) -> None:
+    with pytest.raises(ENDS):
+        decode_source(message)
+
+
 def test_all_messages_pass_the_codec() -> None:
     delta = Delta(1, 2, (("route/1", None, 2), ("route/2", b"x", 2)), bytes(16), True)
     assert decode_source(encode(delta)) == delta
--- a/tests/test_feed_service.py
+++ b/tests/test_feed_service.py
@@ -1,35 +1,45 @@
 """The feed between processes of the program: keepers, relays and subscribers, with faults between them."""
 
+import errno
 import json
 import os
+import resource
 import signal
+import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import anyio
 import pytest
 
-from thistleline.conf.schema import Faulty, check
-from thistleline.feed.bounds import MESSAGE_BOUND, RING
-from thistleline.feed.client import look, propose
-from thistleline.feed.link import OUT_BOUND, Encoder, Outgoing
+from thistleline.conf.schema import Faulty, Feed, check
+from thistleline.feed import link, service
+from thistleline.feed.bounds import MESSAGE_BOUND, RING, SECOND
+from thistleline.feed.client import look, propose, snapshot
+from thistleline.feed.history import Items
+from thistleline.feed.link import OUT_BOUND, Encoder, Outgoing, Rounds
 from thistleline.feed.messages import (
     AskTenants,
     Delta,
     Follow,
     Have,
+    Look,
     Propose,
     Refused,
     Want,
     decode_source,
     encode,
 )
-from thistleline.feed.service import LOOK_BOUND
+from thistleline.feed.persist import Persist
+from thistleline.feed.service import LOOK_BOUND, FeedService
+from thistleline.feed.table import Table
 from thistleline.lab.feedfleet import FeedFleet
 from thistleline.lab.harness import Hung, Process, free_port
 from thistleline.lab.net import Way
@@ -96,6 +106,14 @@
         facts = [json.loads(line) for line in got.stdout.splitlines()]
         assert [(one["value"], one["version"]) for one in facts] == [({"n": 1}, 1), (None, 0)]
         assert got.returncode == 1
+        strange = "common/\udcff"  # bytes that are no UTF-8
+        words = ["--delete", strange, "--expect", f"{strange}=1", "--request", strange]
+        told = await run("put", *words)
+        assert (told.returncode, told.stderr.count("is no text"), "Trace" in told.stderr) == (2, 3, False)
+        told = await run("get", strange)
+        assert (told.returncode, told.stderr) == (2, "Error: 'common/\\udcff' is no text\n")
+        got = await run("get", "made/2", "--json")
+        assert json.loads(got.stdout)["value"] == "once"
         status = await run("status", "--json")
         assert [json.loads(line)["holds"] for line in status.stdout.splitlines()].count(True) == 1
         followed = await run("follow", "--until", "3", "--json")
@@ -324,6 +342,7 @@
     conf.write_text(f"feed role relay\nfeed name r\nfeed level 1\nfeed listen 127.0.0.1:{port}\n"
                     f"feed up k=127.0.0.1:{nowhere}\nfeed followers 2\n")  # fmt: skip
     hello = sealed(encode(Hello("follower", "x" * 900)))
+    deep = b"\x91" * 3000 + b"\x01"  # a list in a list in a list
     follow = hello + sealed(encode(Follow("x", "wide", 0, bytes(16))))
     words = [
         *(b"GET / HTTP/1.1\r\n\r\n", b"\xff\xff\xff\xff", sealed(b"\x00"), hello + b"\x7f\xff\xff\xff"),
@@ -331,6 +350,7 @@
         *(hello + sealed(b"{}"), hello + sealed(encode(Have(1))), hello + sealed(encode(Want(-1, 1 << 40)))),
         hello + sealed(encode(Follow("x" * 500, "wide", -1, b"", 99))),
         follow + sealed(encode(AskTenants(("tenant/x",) * 500))),
+        *(sealed(b"\x82\xa4type\xa5hello\xa1x" + deep), hello + sealed(b"\x82\xa4type\xa4have\xa1x" + deep)),
     ]
 
     async def ends(text: bytes) -> None:
@@ -379,6 +399,208 @@
     assert "Traceback" not in (tmp_path / "r.log").read_text()
 
 
+def in_process(story: Callable[[FeedService], Awaitable[None]], items: Items = ()) -> list[tuple[str, Any]]:
+    """A relay in this process that holds these entries and has nobody above it; what it logged."""
+    logged: list[tuple[str, Any]] = []
+    at, nowhere = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
+    conf = Feed(name="r", listen=at, role="relay", level=1, up={"k": nowhere}, followers=2)
+
+    async def run() -> None:
+        relay = FeedService(conf, None, lambda event, **facts: logged.append((event, facts)))
+        if items:
+            relay.station.history.anew(Table().moved(1, items))
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as group:
+                group.start_soon(relay.run)
+                while await look(at) is None:
+                    await anyio.sleep(0.02)
+                await story(relay)
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+    return logged
+
+
+def test_who_asks_without_end_and_reads_nothing_costs_a_bounded_part_and_stalls_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """50 MB of answers, if all were made; between two turns of the loop one of them at the most."""
+    keys = tuple(f"common/{place}" for place in range(LOOK_BOUND))
+    asks = sealed(encode(Hello("follower", "x"))) + 100 * sealed(encode(Look(keys)))
+    rounds: list[int] = []
+    waits: list[int] = []
+
+    def counted(self: Outgoing, frame: bytes, had: Any = Outgoing.put) -> None:
+        had(self, frame)
+        waits.append(self.size)
+
+    def taken(self: Rounds, had: Any = Rounds.take) -> Any:
+        found = had(self)
+        rounds.append(len(found))
+        return found
+
+    monkeypatch.setattr(Outgoing, "put", counted)
+    monkeypatch.setattr(Rounds, "take", taken)
+    monkeypatch.setattr(link, "STALL", 0.3)
+
+    def there(relay: FeedService) -> bool:
+        return any(peer.id == "x" for peer in relay.peers.values())
+
+    async def story(relay: FeedService) -> None:
+        async with await anyio.connect_tcp(*relay.listen) as stream:
+            await stream.send(asks)
+            while not there(relay):
+                await anyio.sleep(0)
+            while there(relay):
+                assert await look(relay.listen) is not None
+        assert max(waits) <= OUT_BOUND
+        assert max(rounds) <= 3  # of both peers, and that one left
+
+    in_process(story, tuple((key, bytes(4000), 1) for key in keys))
+
+
+def test_a_connection_that_can_t_be_taken_ends_nothing() -> None:
+    """No descriptor is left for a moment."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    async def story(relay: FeedService) -> None:
+        with socket.socket() as one:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (one.fileno(), limits[1]))
+            try:
+                one.connect(relay.listen)
+                while "who comes" not in relay.told:
+                    await anyio.sleep(0.01)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        assert await look(relay.listen) is not None
+
+    logged = in_process(story)
+    assert ("refused", {"of": "who comes", "why": os.strerror(errno.EMFILE)}) in logged
+
+
+def test_a_second_notice_changes_nothing(tmp_path: Path) -> None:
+    """A keeper that leaves waits for a council that is not there; it is told to leave once more."""
+    port, nowhere = free_port(), free_port()
+    conf = tmp_path / "k.conf"
+    conf.write_text(f"feed role keeper\nfeed name k\nfeed listen 127.0.0.1:{port}\n"
+                    f"feed folder {tmp_path / 'k'}\nfeed keeper k=127.0.0.1:{port}\n"
+                    f"council voter a=127.0.0.1:{nowhere}\n")  # fmt: skip
+    keeper = Process("k", ["feed", "--conf", str(conf)], {}, tmp_path)
+
+    def reached(event: str) -> bool:
+        return any(told["event"] == event for told in keeper.events())
+
+    keeper.start()
+    try:
+        assert keeper.process is not None
+        for event, number in (
+            ("started", signal.SIGTERM),
+            ("leaving", signal.SIGTERM),
+            ("leaving", signal.SIGINT),
+        ):
+            until = time.monotonic() + 20
+            while not reached(event):
+                assert time.monotonic() < until
+                time.sleep(0.01)
+            keeper.signal(number)
+        assert keeper.process.wait(20) == 0
+        assert reached("left")
+    finally:
+        keeper.close()
+
+
+def test_strangers_with_ever_new_names_do_not_fill_the_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service, "SECOND", 3600 * SECOND)  # the second is not over while this runs
+
+    async def story(relay: FeedService) -> None:
+        for place in range(100):
+            async with await anyio.connect_tcp(*relay.listen) as stream:
+                await stream.send(sealed(encode(Hello("follower", f"x{place}"))) + sealed(encode(Have(1))))
+                with suppress(*ENDS):
+                    while True:
+                        await stream.receive()
+
+    assert 1 < sum(event == "refused" for event, _ in in_process(story)) <= 32
+
+
+def test_an_export_is_all_that_was_there_also_where_changes_lead_to_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """More of them than go into one Delta; who exports looks at each turn of the loop."""
+    sleep = anyio.sleep
+
+    async def story(relay: FeedService) -> None:
+        monkeypatch.setattr(anyio, "sleep", lambda span: sleep(0))
+        for place in range(200):
+            relay.station.history.move(place + 1, ((f"common/{place}", bytes(4000), place + 1),))
+        table = await snapshot({"r": relay.listen}, 10.0)
+        assert table is not None
+        assert (table.number, len(table.wide)) == (200, 200)
+
+    in_process(story)
+
+
+def test_those_who_only_connect_keep_nobody_out() -> None:
+    """Some say who they are and nothing more, some not even that; one follows, and stays."""
+    hello = sealed(encode(Hello("follower", "x")))
+
+    async def story(relay: FeedService) -> None:
+        async with AsyncExitStack() as stack:
+            for place in range(relay.peers_bound + 10):
+                stream = await stack.enter_async_context(await anyio.connect_tcp(*relay.listen))
+                if not place:
+                    await stream.send(hello + sealed(encode(Follow("x", "wide", 0, bytes(16)))))
+                    while not relay.station.source.peers:
+                        await anyio.sleep(0)
+                elif place % 2:
+                    await stream.send(hello)
+            assert await look(relay.listen) is not None
+            assert len(relay.peers) <= relay.peers_bound + 1
+            assert len(relay.station.source.peers) == 1
+
+    in_process(story)
+
+
+def test_a_state_that_was_given_up_while_it_was_written_is_not_told_as_durable(tmp_path: Path) -> None:
+    """A write is under way as another state is loaded, or its end is known and not heeded yet."""
+    goes_on, told = threading.Event(), list[int]()
+    of_another = Table().moved(2, (("common/of-another", b"{}", 2),))
+    loaded = Table().moved(3, (("common/a", b"{}", 3),))
+    persist = Persist(tmp_path / "one", "all", lambda *_, **__: None, told.append)
+    written: Any = persist.archive.write
+    persist.archive.write = lambda *told: goes_on.wait(10) and written(*told)  # type: ignore[method-assign]
+
+    async def story() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(persist.run)
+            persist.step(of_another, 0, (("common/of-another", b"{}", 2),))
+            while persist.waits:
+                await anyio.sleep(0.001)
+            persist.anew(loaded)
+            goes_on.set()
+            while persist.durable != 3:
+                await anyio.sleep(0.001)
+            await persist.flushed()
+            group.cancel_scope.cancel()
+
+    anyio.run(story)
+    persist.close()
+    assert told == [0, 3]
+    at, nowhere = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
+    conf = Feed(name="r", listen=at, role="relay", level=1, up={"k": nowhere}, folder=tmp_path / "two")
+    relay = FeedService(conf, None, lambda *_, **__: None)
+    assert relay.persist is not None
+    relay.station.follower.table = loaded
+    relay.persist.tell(2)
+    relay.persist.anew(loaded)
+    relay.persist.tell(3)
+    for _, *rest in relay.rounds.take():
+        relay._on_durable(*rest)
+        assert relay.station.follower.durable in (0, 3)
+    assert relay.station.follower.durable == 3
+    relay.persist.close()
+
+
 def test_one_object_for_many_is_encoded_once_and_who_takes_nothing_is_let_go() -> None:
     encoder = Encoder()
     delta = Delta(1, 2, (("common/x", b"{}", 2),), bytes(16))
@@ -394,6 +616,8 @@
         assert not ended
         out.put(b"x")
         assert ended
+        out.put(b"x")
+        assert out.size == OUT_BOUND + 1
 
     anyio.run(story)
 
--- a/tests/test_feed_writer.py
+++ b/tests/test_feed_writer.py
@@ -27,9 +27,11 @@
 )
 from thistleline.feed.check import fault
 from thistleline.feed.history import History
-from thistleline.feed.messages import Change, Group, Propose, Proposed, decode_group, encode
+from thistleline.feed.messages import Change, Follow, Group, Propose, Proposed, decode_group, encode
+from thistleline.feed.station import Station
 from thistleline.feed.table import Table
 from thistleline.feed.writer import ASK_AGAIN, CATCH_UP_SPAN, LINE_SIZE, Writer, key_of
+from thistleline.lab.feedworld import changed, fleet, settle
 from thistleline.lease.table import Table as Council
 from thistleline.lease.table import data_of
 from thistleline.lease.terms import Break, Denied, Done, Granted, Put, Take
@@ -660,6 +662,54 @@
     assert one.out == []
 
 
+def test_who_wrote_counts_for_the_next_writer_with_all_that_its_disk_has(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Of three keepers one is away: without the disk of who wrote before, the ring of the next is full."""
+
+    def away(name: str) -> bool:
+        return name == "k2"
+
+    monkeypatch.setattr(writers, "RING", 2)
+    world = changed(fleet(relays=0, instances=0), 3, away)
+    world.move("k1")
+    world.lose("k0")
+    for _ in range(4):
+        settle(world, away)
+        world.ticks += 1  # k0 asked k2 first, which is silent
+    for _ in range(2):
+        world.propose("k1")
+        settle(world, away)
+    assert world.acked == {f"c{place}": place + 1 for place in range(5)}
+
+
+def test_a_keeper_that_lost_its_disk_counts_no_more_also_where_it_finds_no_place() -> None:
+    one = Station("a", 0, Table(), ("b", "c"), 0, lambda span: 0, KEEPERS, bound=0)
+    assert one.writer is not None
+    one.take(0, "writer", "durable", "b", 5)
+    for peer in range(8):  # places that are for keepers alone
+        one.take(0, "down", "joined", peer)
+    effects = one.take(0, "down", "joined", 8)
+    assert [effect[0] for effect in effects] == ["down", "close"]
+    one.take(0, "down", "heard", 8, Follow("b", "all", 0, bytes(16)))
+    assert one.writer.durable == {"b": 0}
+
+
+def test_a_keeper_says_who_writes_while_it_follows_that_one_and_no_longer() -> None:
+    world = fleet(relays=0, instances=0)
+
+    def said(name: str) -> tuple[str, str]:
+        node = world.nodes[name]
+        assert isinstance(node, Station)
+        return node.leader, node.source.leader
+
+    assert [said(name) for name in ("k0", "k1", "k2")] == [("", ""), ("k0", "k0"), ("k0", "k0")]
+    world.end("k1")
+    assert said("k1") == ("", "")
+    world.put("k1", "elapsed")  # it asks k2, who does not write
+    assert said("k1") == ("", "")
+
+
 def test_what_was_durable_in_an_earlier_hold_does_not_count_but_the_own_disk_does() -> None:
     one = leading()
     one.write(RING)
--- a/thistleline/feed/messages.py
+++ b/thistleline/feed/messages.py
@@ -4,12 +4,13 @@
 a table (feed/table.py). Of what comes from strangers every length is bounded by `feed/bounds.py`.
 """
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
 Kind = Literal["wide", "all"]  # what a follower holds: without the tenants, which are told on demand; or all
 Item = tuple[str, bytes | None]  # key and value; None takes the key away
+Version = Annotated[int, msgspec.Meta(ge=0)]  # of an entry: the number of the change that set it
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
@@ -79,7 +80,8 @@
 
 class Welcome(msgspec.Struct, frozen=True, tag="welcome"):
     """How it goes on: with changes, or `load` with the snapshot `number` in `parts` parts. `epoch`: of who
-    writes, as far as known; `holds`: it is the one that writes."""
+    writes, as far as known; `holds`: it is the one that writes; else a keeper names that one as `leader`.
+    `newest`: where this one stands."""
 
     number: int
     load: bool
@@ -87,6 +89,8 @@
     level: int
     epoch: int
     holds: bool
+    leader: str = ""
+    newest: int = 0
 
 
 class Refused(msgspec.Struct, frozen=True, tag="refused"):
@@ -102,7 +106,7 @@
 
     first: int
     last: int
-    items: tuple[tuple[str, bytes | None, int], ...]
+    items: tuple[tuple[str, bytes | None, Version], ...]
     digest: bytes
     forget: bool = False
 
@@ -113,7 +117,7 @@
     number: int
     index: int
     parts: int
-    items: tuple[tuple[str, bytes, int], ...]
+    items: tuple[tuple[str, bytes, Version], ...]
     digest: bytes
 
 
--- a/thistleline/feed/service.py
+++ b/thistleline/feed/service.py
@@ -5,14 +5,15 @@
 import os
 import resource
 import signal
-from collections.abc import Callable
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 from random import Random
 from typing import Any
 
 import anyio
 import msgspec
-from anyio.abc import SocketStream
+from anyio.abc import Listener, SocketStream
 
 from thistleline.conf.schema import Council as CouncilConf
 from thistleline.conf.schema import Feed
@@ -39,6 +40,8 @@
 SPARE_FILES = 64  # descriptors for what else there is
 LOOK_BOUND, LOOK_SIZE = 128, MESSAGE_BOUND // 2  # keys, bytes of values in one answer
 GET_SPAN = 0.8  # s; the writer asks each second
+ACCEPT_PAUSE = 0.1  # s after one that came to nothing
+SAID_BOUND = 32  # lines a second of what others do
 LEAVE_SPAN = 3.0  # s to give the lease back and to write down what waits
 
 
@@ -66,6 +69,7 @@
             conf.followers,
         )
         self.peers: dict[int, Peer] = {}
+        self.guests: OrderedDict[int, Peer] = OrderedDict()  # of these who does not follow, the first first
         self.count = 0
         files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self.peers_bound = max(1, min(conf.followers + GUESTS_BOUND, files - SPARE_FILES))
@@ -74,18 +78,25 @@
         self.leaving = False
         self.given_back = anyio.Event()
         self.told: dict[str, str] = {}  # what was last said of somebody
+        self.said = self.said_until = 0  # how much was said in this second, and when that is over
         self.phase = ("", "")  # what was last said of itself
 
     def _spread(self, span: int) -> int:
         return self.chance.randrange(span + 1)
 
     def _durable(self, number: int) -> None:
-        self.rounds.put("durable", number)
+        assert self.persist is not None
+        self.rounds.put("durable", number, self.persist.line)
 
     # ---- the program
 
     async def run(self) -> None:
         """Until SIGTERM or SIGINT. Raises OSError where it can't listen."""
+        # Open to the very end: guards against a second notice that would end it at once, by the signal.
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await self._run(signals)
+
+    async def _run(self, signals: AsyncIterator[signal.Signals]) -> None:
         listener = await anyio.create_tcp_listener(local_host=self.listen[0], local_port=self.listen[1])
         table = self.station.table
         self.log("started", id=self.name, role=self.conf.role, level=self.conf.level, number=table.number,
@@ -94,8 +105,9 @@
         async with listener, anyio.create_task_group() as group:
             self.group = group
             self.up = Up(self.name, self.sources, group, self.rounds, lambda told: ("up", *told))
-            group.start_soon(self._until_told, group.cancel_scope)
-            group.start_soon(listener.serve, self._serve)
+            group.start_soon(self._until_told, signals, group.cancel_scope)
+            for one in listener.listeners:
+                group.start_soon(self._accept, one)
             group.start_soon(self._pump)
             if self.persist is not None:
                 group.start_soon(self.persist.run)
@@ -106,10 +118,9 @@
             self.persist.close()
         self.log("left", number=self.station.table.number)
 
-    async def _until_told(self, scope: anyio.CancelScope) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
+    async def _until_told(self, signals: AsyncIterator[signal.Signals], scope: anyio.CancelScope) -> None:
+        async for _ in signals:
+            break
         self.log("leaving", number=self.station.table.number)
         self.leaving = True
         with anyio.move_on_after(LEAVE_SPAN):
@@ -146,6 +157,7 @@
         else:
             if not peer.follows:
                 peer.follows = True
+                self.guests.pop(number, None)
                 self._take("down", "joined", number)
             self._take("down", "heard", number, message)
 
@@ -157,8 +169,9 @@
             self._say("lost", told[1], told[2])
         self._take("up", *told)
 
-    def _on_durable(self, number: int) -> None:
-        self._take("durable", number)
+    def _on_durable(self, number: int, line: int) -> None:
+        if self.persist is not None and line == self.persist.line:
+            self._take("durable", number)
 
     def _on_lease(self, kind: str, told: Any) -> None:
         self.epoch = told if kind == "held" else 0
@@ -172,12 +185,18 @@
     # ---- effects
 
     def _say(self, what: str, of: str, why: str) -> None:
-        """Once, till something else is to be said of the same one."""
+        """Once, till something else is to be said of the same one; so many a second at most: guards against
+        a log that is as long as strangers want, each by a name of its own."""
+        now = boot_now()
+        if now >= self.said_until:
+            self.said, self.said_until = 0, now + SECOND
+        if self.told.get(of) == why or self.said == SAID_BOUND:
+            return
         if len(self.told) > 1024:
             self.told.clear()
-        if self.told.get(of) != why:
-            self.told[of] = why
-            self.log(what, of=of, why=why)
+        self.told[of] = why
+        self.said += 1
+        self.log(what, of=of, why=why)
 
     def _carry_out(self, kind: str, *told: Any) -> None:
         if kind == "up":
@@ -238,7 +257,7 @@
             if size > LOOK_SIZE:
                 break
             items.append((key, value, version))
-        epoch, holds = station.told
+        epoch, holds, _ = station.told
         answer = Looked(station.table.number, station.table.digest("all"), epoch, station.phase, holds,
                         tuple(items), self._facts())  # fmt: skip
         peer.out.put(self.encoder.frame(answer))
@@ -297,14 +316,26 @@
 
     # ---- who comes
 
+    async def _accept(self, listener: Listener[SocketStream]) -> None:
+        """Guards against the end of all by one that came to nothing, or where no descriptor is left."""
+        while True:
+            try:
+                await listener.serve(self._serve, self.group)
+            except OSError as error:
+                self._say("refused", "who comes", error.strerror or str(error))
+            await anyio.sleep(ACCEPT_PAUSE)
+
     async def _serve(self, stream: SocketStream) -> None:
         if len(self.peers) >= self.peers_bound:
             self._say("refused", "who comes", "all connections are taken")
-            await anyio.aclose_forcefully(stream)
-            return
+            if not self.guests:
+                await anyio.aclose_forcefully(stream)
+                return
+            # Guards against those who only connect: who means to follow or asks something is soon done.
+            self.guests.popitem(last=False)[1].end("another came")
         self.count += 1
         peer = Peer(self.count, stream)
-        self.peers[peer.number] = peer
+        self.peers[peer.number] = self.guests[peer.number] = peer
         try:
             with peer.scope, ends(peer.note):
                 async with stream:
@@ -321,6 +352,7 @@
                         await self._read(peer)
         finally:
             del self.peers[peer.number]
+            self.guests.pop(peer.number, None)
             if peer.follows:
                 self.rounds.put("left", peer.number)
 
@@ -329,9 +361,9 @@
         while True:
             with anyio.fail_after(IDLE_SPAN):
                 data = await peer.stream.receive(PIECE)
-            heard = [("peer", peer.number, decode_follower(one)) for one in unpacker.take(data)]
-            if heard:
-                await self.rounds.bring(heard)
+            for one in unpacker.take(data):
+                await self.rounds.bring([("peer", peer.number, decode_follower(one))])
+                await peer.out.flows()
 
 
 def sources_of(conf: Feed) -> dict[str, Address]:
