The feed's fleet in virtual time has zones, a lease that runs out, and changes asked again

Need: "a zone" was some instances of one region, all regions were of one size, the lease was held by the word of the lab, and a change that was asked of a dead writer was never known.

Instances are placed in zones that are dealt out to the regions, a region's relays in zones of their own; without a number of zones fleets are as they were. Keepers take the lease by the reducer that runs (lease/holder.py) of the real table under the real watch, each wish with a name of its own; who is killed is not heard and loses it after 3 s. Who wants a change asks the keeper that wrote last and goes on as feed/client.propose does, by the same request, until it is known. The oracle takes a number that becomes known after a later one, and calls a number that nobody knows, and a request with two numbers, faults. A keeper can come back from its disk. The clock and the delays are of their own, for another fleet beside this one.

Ruled out: one try a change, straight at the new writer: what a dead one costs who asks would not be seen. An answer is known where it is decided, its way back is counted only where it sends on.

--- a/thistleline/lab/feedrun.py
+++ b/thistleline/lab/feedrun.py
@@ -4,6 +4,9 @@
 Hollow instances share what is equal: a state that one made from another by the same entries is the state of
 all who do the same (`Shared`), so that thousands fit into one process. What that step costs an instance is
 measured apart. An oracle that knows nothing of the reducers keeps its own list of changes and plain dicts.
+
+The council is stood in for: its table and its watch over leases are the real ones, its trips are drawn. Who
+asks for a change asks the one that wrote last, and goes on as feed/client.propose does until it is known.
 """
 
 from bisect import bisect_right
@@ -16,6 +19,7 @@
 
 from thistleline.feed import follower as following
 from thistleline.feed.bounds import MADE_SLOTS, MS, SECOND
+from thistleline.feed.client import PAUSE, PROPOSE_SPAN
 from thistleline.feed.follower import Follower
 from thistleline.feed.lookups import Lookups
 from thistleline.feed.messages import Change, Delta, Group, Kind, Part, Propose, Proposed, encode
@@ -23,9 +27,11 @@
 from thistleline.feed.table import APART, Entries, Table
 from thistleline.feed.writer import LEASE, key_of
 from thistleline.lab.mutants import without
+from thistleline.lease.holder import Hold
 from thistleline.lease.table import Table as Leases
 from thistleline.lease.table import data_of
-from thistleline.lease.terms import Granted, Put, Take
+from thistleline.lease.terms import Answer, Denied, Keep, Kept, Op, Put
+from thistleline.lease.watch import Watch
 from thistleline.links.codec import sealed
 
 HEAD = len(sealed(b""))
@@ -35,6 +41,7 @@
 LINE = 1_000_000_000 / 8 / SECOND  # and an instance
 NO_ANSWER = SECOND  # until who connects to nobody gives it up
 SYNC = 5 * MS  # of a write
+LENGTH = 3 * SECOND  # of the lease, as conf/schema.Feed has it where nothing is said
 KEPT = 2_000  # states shared at once
 
 Spread = Callable[[int], int]
@@ -189,12 +196,13 @@
     """A process somewhere."""
 
     __slots__ = (
-        *("name", "region", "node", "alive", "wake", "link", "peers", "rate", "free", "pace", "phase"),
-        *("got", "sent", "got_bytes", "sent_bytes", "cpu", "takes", "since", "number", "durable", "life"),
+        *("name", "region", "zone", "node", "alive", "wake", "link", "peers", "rate", "free", "pace"),
+        *("phase", "got", "sent", "got_bytes", "sent_bytes", "cpu", "takes", "since", "number", "durable"),
+        "life",
     )
 
-    def __init__(self, name: str, region: int, node: Node, rate: float) -> None:
-        self.name, self.region, self.node, self.rate = name, region, node, rate
+    def __init__(self, name: str, region: int, zone: int, node: Node, rate: float) -> None:
+        self.name, self.region, self.zone, self.node, self.rate = name, region, zone, node, rate
         self.alive, self.wake, self.life = True, NEVER, 0
         self.link: Link | None = None
         self.peers: dict[int, Link] = {}
@@ -206,7 +214,53 @@
         self.durable: Table | None = None
 
 
-class VirtualFeed:
+class Asked:
+    """A change that somebody wants, until its number is known."""
+
+    __slots__ = ("at", "first", "last", "propose", "region", "tries")
+
+    def __init__(self, propose: Propose, region: int, now: int, at: str) -> None:
+        """`at`: whom it is asked of."""
+        self.propose, self.region, self.at = propose, region, at
+        self.first = self.last = now  # when it was asked for
+        self.tries = 1
+
+
+class Clock:
+    """Virtual time: what is to be done by when, in ns."""
+
+    def __init__(self) -> None:
+        self.now = self.count = 0
+        self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+
+    def at(self, when: int, do: Callable[..., None], *told: Any) -> None:
+        self.count += 1
+        heappush(self.queue, (when, self.count, do, told))
+
+    def run(self, until: int, over: Callable[[], bool] = lambda: False) -> bool:
+        """Whether it was `over` by then; asked every 10 ms of virtual time."""
+        queue, asked = self.queue, 0
+        while queue and queue[0][0] <= until:
+            if queue[0][0] >= asked:
+                asked = queue[0][0] + 10 * MS
+                if over():
+                    return True
+            self.now, _, do, told = heappop(queue)
+            do(*told)
+        self.now = max(self.now, until)
+        return over()
+
+
+def delays(chance: Random, regions: int) -> list[list[int]]:
+    """The least ns from region to region, drawn; 0 within one."""
+    apart = [[0] * regions for _ in range(regions)]
+    for one in range(regions):
+        for other in range(one):
+            apart[one][other] = apart[other][one] = chance.randint(5, 120) * MS
+    return apart
+
+
+class VirtualFeed(Clock):
     def __init__(
         self,
         table: Table,
@@ -216,49 +270,58 @@
         relays: int = 2,
         keepers: int = 5,
         timed: bool = False,
+        zones: int = 0,
     ) -> None:
-        """`table`: what all hold at the start; `relays` of each region; `timed`: adds up what the instances'
-        reducers take of the processor."""
+        """`table`: what all hold at the start; `relays` of each region, each in a zone of its own where there
+        are as many; `zones` in all, dealt out to the regions, one each where nothing is said; `timed`: adds
+        up what the instances' reducers take of the processor."""
+        super().__init__()
         self.chance, self.timed = Random(seed), timed
-        self.now = 0
-        self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.count = self.peers = 0
+        self.peers = 0
         self.leases, self.index = Leases(), 0
+        self.watch, self.watching = Watch(), NEVER
+        self.holds: dict[str, Hold] = {}
         table = Shared(*self._begun(table))
         self.start = table
         self.oracle = Oracle(table)
         self.places: dict[str, Place] = {}
-        self.regions = regions
-        self.apart = [[0] * regions for _ in range(regions)]
-        for one in range(regions):
-            for other in range(one):
-                self.apart[one][other] = self.apart[other][one] = self.chance.randint(5, 120) * MS
+        self.regions, self.zones = regions, zones or regions
+        self.apart = delays(self.chance, regions)
         self.cut: Callable[[int, int], bool] = lambda one, other: False
         self.swallowed = 0
         self.sizes: dict[int, tuple[Any, int]] = {}
-        self.proposals: dict[int, tuple[int, Propose]] = {}
-        self.proposed: dict[int, int] = {}  # by number, when
-        self.waits: list[int] = [0] * (table.number + 1)  # by number, when it was proposed
-        self.took: Counter[int] = Counter()  # ms until in force: how many (change, instance)
+        self.tickets = 0
+        self.proposals: dict[int, Asked] = {}
+        self.asked: dict[int, Asked] = {}  # by number, of what is known
+        self.early: dict[int, list[tuple[int, int]]] = defaultdict(list)  # in force before it was known
+        self.acknowledged: dict[int, Asked] = {}  # after one that is not known yet
+        self.made: dict[str, int] = {}  # number of each request
+        self.took: Counter[int] = Counter()  # ms from asking last to in force: how many (change, instance)
+        self.took_all: Counter[int] = Counter()  # from asking first, of what was asked more than once
         self.refused: list[str] = []
         self.looked: Counter[str] = Counter()
         self.wrong = ""
         self.kept = [f"k{place}" for place in range(keepers)]
+        self.wrote = self.kept[0]  # as who asks for changes knows it
         self.relays = [f"r{region}.{place}" for region in range(regions) for place in range(relays)]
         for place, name in enumerate(self.kept):
             others = tuple(one for one in self.kept if one != name)
             node = Station(name, 0, table, others, self.now, self._spread, tuple(self.kept))
-            self._add(Place(name, place * regions // keepers, node, PLENTY))
+            region = place * regions // keepers
+            self._add(Place(name, region, region, node, PLENTY))
         for name in self.relays:
             sources = self.kept[:]
             self.chance.shuffle(sources)
-            region = int(name[1:].partition(".")[0])
-            self._add(Place(name, region, Station(name, 1, table, tuple(sources), 0, self._spread), PLENTY))
+            region, place = map(int, name[1:].split("."))
+            zone = place * regions + region
+            node = Station(name, 1, table, tuple(sources), 0, self._spread)
+            self._add(Place(name, region, zone if zone < self.zones else region, node, PLENTY))
         self.wide = Shared(*Table.moved(Table(), table.number, table.entries("wide"), "wide"))
         self.instances = [f"i{place}" for place in range(instances)]
         for place, name in enumerate(self.instances):
-            region = place % regions
-            self._add(Place(name, region, self._instance(name, region, self.wide), LINE))
+            zone = place % self.zones
+            region = zone % regions
+            self._add(Place(name, region, zone, self._instance(name, region, self.wide), LINE))
 
     def _instance(self, name: str, region: int, table: Table) -> Node:
         near = [one for one in self.relays if one.startswith(f"r{region}.")]
@@ -287,23 +350,9 @@
 
     # ---- time
 
-    def at(self, when: int, do: Callable[..., None], *told: Any) -> None:
-        self.count += 1
-        heappush(self.queue, (when, self.count, do, told))
-
     def run(self, until: int, over: Callable[[], bool] = lambda: False) -> bool:
-        """Whether it was `over` by then; asked every 10 ms of virtual time."""
-        queue, asked = self.queue, 0
         with without(((following, "Table", Shared),)):
-            while queue and queue[0][0] <= until:
-                if queue[0][0] >= asked:
-                    asked = queue[0][0] + 10 * MS
-                    if over():
-                        return True
-                self.now, _, do, told = heappop(queue)
-                do(*told)
-        self.now = max(self.now, until)
-        return over()
+            return super().run(until, over)
 
     def _arm(self, place: Place) -> None:
         due = place.node.due()
@@ -355,9 +404,17 @@
         self.oracle.check(table, "wide" if hollow else "all", before)
         if hollow:
             for number in range(max(before + 1, self.start.number + 1), table.number + 1):
-                # A group is pushed when it is acknowledged, so its changes have their times by now.
-                since = max(self.proposed.get(number, self.now), place.since)
-                self.took[(self.now - since) // MS] += 1
+                asked = self.asked.get(number)
+                if asked is None:  # who takes over pushes what nobody was told of yet
+                    self.early[number].append((self.now, place.since))
+                else:
+                    self._in_force(asked, self.now, place.since)
+
+    def _in_force(self, asked: Asked, when: int, since: int) -> None:
+        """At an instance that is up since then."""
+        self.took[max(0, when - max(asked.last, since)) // MS] += 1
+        if asked.tries > 1:
+            self.took_all[(when - max(asked.first, since)) // MS] += 1
 
     def _connect(self, place: Place, name: str) -> None:
         old = place.link
@@ -509,45 +566,120 @@
         """A confirmed write or read: there, to a majority, back."""
         return self.chance.randint(30, 120) * MS
 
+    def _errand(self, place: Place, hold: Hold, *told: Any) -> None:
+        """What the council said of the writer's records; to a hold that is over it says nothing."""
+        if self.holds.get(place.name) is hold:
+            self.put(place, "writer", *told)
+
     def _get(self, place: Place, slot: int, key: str) -> None:
-        got = self.leases.get(key)
-        self.at(self.now + self._trip(), self.put, place, "writer", "got", slot, got.value, got.version)
+        got, hold = self.leases.get(key), self.holds[place.name]
+        self.at(self.now + self._trip(), self._errand, place, hold, "got", slot, got.value, got.version)
 
     def _put(self, place: Place, slot: int, put: Put) -> None:
-        self.at(self.now + self._trip() // 2, self._decide, place, slot, put)
+        self.at(self.now + self._trip() // 2, self._decide, place, self.holds[place.name], slot, put)
 
-    def _decide(self, place: Place, slot: int, put: Put) -> None:
-        self.index += 1
-        answer = self.leases.apply(self.index, data_of(put))
+    def _decide(self, place: Place, hold: Hold, slot: int, put: Put) -> None:
+        answer = self._apply(put)
         when = self.now + self._trip() // 2
-        if hasattr(answer, "why"):
-            self.at(when, self.put, place, "writer", "put_denied", slot, answer.why)
+        if isinstance(answer, Denied):
+            self.at(when, self._errand, place, hold, "put_denied", slot, answer.why)
         else:
-            self.at(when, self.put, place, "writer", "put_done", slot, put.version + 1)
+            self.at(when, self._errand, place, hold, "put_done", slot, put.version + 1)
+
+    def _apply(self, op: Op) -> Answer:
+        self.index += 1
+        return self.leases.apply(self.index, data_of(op))  # type: ignore[arg-type]
 
     def _release(self, place: Place, why: str) -> None:
         self.wrong = self.wrong or f"{place.name} gives the lease back: {why}"
 
     def hold(self, name: str) -> None:
-        """The lease is this keeper's."""
-        self.index += 1
-        answer = self.leases.apply(self.index, data_of(Take(LEASE, name, 10 * SECOND, True)))
-        assert isinstance(answer, Granted)
-        self.put(self.places[name], "writer", "held", answer.epoch)
+        """This keeper asks for the lease first, a little later all others do."""
+        for one in self.kept:
+            self.at(self.now if one == name else self.now + SECOND, self._wants, self.places[one])
+
+    def _wants(self, place: Place) -> None:
+        """A wish of its own for each try, as feed/service has it."""
+        if place.alive:
+            asker = f"{place.name}.{self.index}.{self.now}"
+            hold = self.holds[place.name] = Hold(LEASE, asker, LENGTH, True, self.now, self._spread)
+            self._holds(place, hold, "start")
+
+    def _holds(self, place: Place, hold: Hold, *told: Any) -> None:
+        if self.holds.get(place.name) is not hold:
+            return
+        for effect, *rest in hold.take(self.now, *told):
+            if effect == "ask":
+                self.at(self.now + self._trip() // 2, self._asks, place, hold, *rest)
+            elif effect == "held":
+                self.put(place, "writer", "held", *rest)
+            else:
+                del self.holds[place.name]
+                self.put(place, "writer", "lost", *rest)
+                self.at(self.now + LENGTH // 3 + self._spread(LENGTH // 3), self._wants, place)
+                return
+        self.at(max(hold.due(), self.now + 1), self._holds_due, place, hold)
+
+    def _holds_due(self, place: Place, hold: Hold) -> None:
+        if self.holds.get(place.name) is hold and hold.due() <= self.now:
+            self._holds(place, hold, "elapsed")
+
+    def _asks(self, place: Place, hold: Hold, number: int, op: Op) -> None:
+        """At the council's leader."""
+        if isinstance(op, Keep):
+            for name, asker in op.names:
+                self.watch.heard(self.now, name, asker, self.leases)
+            answer: Answer = Kept(tuple(self.leases.stands(*one) for one in op.names))
+        else:
+            answer = self._apply(op)
+        self._watch()
+        self.at(self.now + self._trip() // 2, self._holds, place, hold, "answered", number, answer)
+
+    def _watch(self) -> None:
+        """Takes the lease from who was not heard of for its length."""
+        self.watch.look(self.now, LEASE, self.leases)
+        for op in self.watch.over(self.now, self.now // MS, self.leases):
+            self._apply(op)
+            self.watch.look(self.now, LEASE, self.leases)
+        due = self.watch.due()
+        if due is not None and (due < self.watching or self.watching <= self.now):
+            self.watching = max(due, self.now + 1)
+            self.at(self.watching, self._watch)
 
     # ---- changes
 
     def propose(self, propose: Propose) -> None:
-        """By somebody in a region of its own, now, at the keeper that writes."""
-        self.count += 1
-        ticket = self.count
-        self.proposals[ticket] = self.now, propose
-        writer = self.writer()
-        way = self.apart[self.chance.randrange(self.regions)][writer.region] or MS
-        self.at(self.now + way, self._proposed, writer, ticket, propose)
-
-    def _proposed(self, writer: Place, ticket: int, propose: Propose) -> None:
-        self.put(writer, "writer", "proposed", ticket, propose)
+        """By somebody in a region of its own, now, at the keeper that was heard to write last."""
+        self.tickets += 1
+        region = self.chance.randrange(self.regions)
+        self.proposals[self.tickets] = Asked(propose, region, self.now, self.wrote)
+        self._ask(self.tickets)
+
+    def _ask(self, ticket: int) -> None:
+        asked = self.proposals.get(ticket)
+        if asked is None:
+            return  # the answer came while it waited to ask again
+        asked.last = self.now
+        keeper = self.places[asked.at]
+        self.at(self.now + (self.apart[asked.region][keeper.region] or MS), self._proposed, keeper, ticket)
+        self.at(self.now + int(PROPOSE_SPAN * SECOND), self._another, ticket, asked.tries, "")
+
+    def _proposed(self, keeper: Place, ticket: int) -> None:
+        if ticket in self.proposals:
+            self.put(keeper, "writer", "proposed", ticket, self.proposals[ticket].propose)
+
+    def _another(self, ticket: int, tries: int, leader: str) -> None:
+        """The same request, of who is said to write, else of the next after a pause."""
+        asked = self.proposals.get(ticket)
+        if asked is None or asked.tries != tries:
+            return
+        asked.tries += 1
+        if leader and leader != asked.at:
+            asked.at = leader
+            self._ask(ticket)
+        else:
+            asked.at = self.kept[(self.kept.index(asked.at) + 1) % len(self.kept)]
+            self.at(self.now + int(PAUSE * SECOND * self.chance.uniform(0.5, 1.5)), self._ask, ticket)
 
     def writer(self) -> Place:
         for name in self.kept:
@@ -557,13 +689,30 @@
         raise AssertionError("nobody writes")
 
     def _answer(self, place: Place, ticket: int, answer: Proposed) -> None:
-        when, propose = self.proposals.pop(ticket)
+        asked = self.proposals.get(ticket)
+        if asked is None:
+            return
+        if answer.unknown:
+            way = self.apart[asked.region][place.region] or MS
+            self.at(self.now + way, self._another, ticket, asked.tries, answer.leader)
+            return
+        del self.proposals[ticket]
         if not answer.number:
             self.refused.append(answer.why)
             return
-        self.proposed[answer.number] = when
-        made = f"made/{answer.number % MADE_SLOTS}", propose.request.encode()
-        self.oracle.acknowledged(answer.number, (*propose.items, made))
+        self.wrote = place.name
+        request, number = asked.propose.request, answer.number
+        if self.made.setdefault(request, number) != number or number in self.asked:
+            self.wrong = self.wrong or f"{request} is {number}, which is {self.made[request]} or another's"
+            return
+        self.asked[number] = self.acknowledged[number] = asked
+        for when, since in self.early.pop(number, ()):
+            self._in_force(asked, when, since)
+        # One that was made and not told of is known once it is asked for again; what came after it waits.
+        while (known := self.acknowledged.pop(self.oracle.last + 1, None)) is not None:
+            number = self.oracle.last + 1
+            made = f"made/{number % MADE_SLOTS}", known.propose.request.encode()
+            self.oracle.acknowledged(number, (*known.propose.items, made))
 
     def look(self, name: str, key: str) -> None:
         """What an instance knows of a key must be what counts at the number it holds."""
@@ -586,13 +735,14 @@
         """The machine is gone: nobody is told."""
         place = self.places[name]
         place.alive = False
+        self.holds.pop(name, None)
         place.life += 1
         for link in [*place.peers.values(), *([place.link] if place.link else [])]:
             link.silent = True
         place.peers = {}
 
     def restart(self, name: str, cold: bool) -> None:
-        """An instance is there again, from nothing or from what was durable."""
+        """An instance or a keeper is there again, from nothing or from what was durable."""
         place = self.places[name]
         self.kill(name)
         if place.link is not None:
@@ -603,7 +753,12 @@
         table = Shared() if cold or place.durable is None else place.durable
         place.link, place.wake = None, NEVER
         place.alive, place.since = True, self.now
-        place.node = self._instance(name, place.region, table)
+        if name in self.kept:
+            others = tuple(one for one in self.kept if one != name)
+            place.node = Station(name, 0, table, others, self.now, self._spread, tuple(self.kept))
+            self._wants(place)
+        else:
+            place.node = self._instance(name, place.region, table)
         place.number = table.number
         self._arm(place)
 
@@ -644,6 +799,8 @@
                     if wrong:
                         found.append(f"{place.name}: {wrong}")
         found += [f"{len(some)} digests of {kind}" for kind, some in digests.items() if len(some) > 1]
+        if self.acknowledged:
+            found.append(f"{self.oracle.last + 1} was made and nobody who asked knows it")
         return found
 
     def totals(self, names: Iterable[str]) -> list[tuple[int, int, int, int, int, int]]:
