The feed is measured beside a run of today's polled record, case by case, with zones and a writer that dies

Need: the comparison with today was made of constants. Faults lasted 20 s, "a zone" was a part of one region, and no writer died in the fleet.

lab/polledrun.py runs what is there today in virtual time: stewards that ask the council's real table for their want each POLL after the last answer and load the whole record when the want names another; the same regions, delays, line rates and changes. A record holds what fits into VALUE_BOUND, routes and tenants in proportion, the newest changes always. Best case for today: in force once it is read, wants of all at once, no record refused for room. Run without a bound of the leader's processor, and with the reads a second that real processes filled its core with.

Each case has a fleet of its own, in the long run in a process of its own, five beside the first; faults last 60 s there. New are a zone that is lost with its relay (its instances come back after 5 s) and a writer that dies (it comes back after 20 s). Time until in force counts from the asking that was answered; beside it stands that from the first asking. `today: reads` is a run's row, and its leader's bytes with it.

Ruled out: a record for each version, older ones emptied as their room ends: one in fifteen loads found nothing, which says more of the lab's way of emptying than of today.

--- a/tests/test_feed_worlds.py
+++ b/tests/test_feed_worlds.py
@@ -1,15 +1,18 @@
 """The feed without I/O: its reducers explored, protections taken out, a small fleet in virtual time."""
 
 from collections import Counter
+from typing import Any
 
+import msgspec
 import pytest
 
+from thistleline.conf.schema import Feed
 from thistleline.feed.bounds import MS, SECOND
-from thistleline.feed.messages import Propose
+from thistleline.feed.messages import Propose, Proposed
 from thistleline.feed.table import Table
 from thistleline.lab import feedmutants
 from thistleline.lab.feedmutants import MUTANTS, SCENARIOS, explored
-from thistleline.lab.feedrun import Oracle, Shared, VirtualFeed, quantile
+from thistleline.lab.feedrun import LENGTH, Oracle, Shared, VirtualFeed, quantile
 from thistleline.lab.scale import feed
 from thistleline.lab.scale.feed import Load, begin, case, made_table
 
@@ -73,8 +76,8 @@
 # ---- a fleet
 
 
-def small(seed: int = 1) -> VirtualFeed:
-    fleet = VirtualFeed(made_table(50, 50, seed), seed, 24, regions=3, relays=2, keepers=3)
+def small(seed: int = 1, zones: int = 0) -> VirtualFeed:
+    fleet = VirtualFeed(made_table(50, 50, seed), seed, 24, regions=3, relays=2, keepers=3, zones=zones)
     begin(fleet)
     return fleet
 
@@ -104,10 +107,10 @@
 
 
 def test_who_comes_back_cold_or_with_an_older_state_holds_the_newest_soon() -> None:
-    fleet = small()
+    fleet = small(zones=6)
     load = Load(fleet, 50, 50, 1)
-    cold = case(load, 5.0, 4.0, feed.zone_returns(fleet, 4))
-    late = case(load, 5.0, 4.0, feed.rack_returns(fleet, 4, SECOND))
+    cold = case(load, 5.0, 4.0, lambda: feed.zone_returns(fleet))
+    late = case(load, 5.0, 4.0, lambda: feed.rack_returns(fleet, 4, SECOND))
     assert not cold["behind"] + late["behind"]
     assert max(cold["last_ms"], late["last_ms"]) < 7000
     assert not fleet.faults()
@@ -153,3 +156,125 @@
     assert not fleet.behind()
     assert not fleet.faults()
     assert place.since > 100 * MS
+
+
+def test_zones_are_dealt_out_to_regions_that_differ_in_size_with_them() -> None:
+    fleet = VirtualFeed(made_table(5, 5, 1), 1, 270, regions=10, relays=2, keepers=5, zones=27)
+    zones = Counter(fleet.places[name].zone for name in fleet.instances)
+    assert set(zones.values()) == {10}
+    regions = Counter(fleet.places[name].region for name in fleet.instances)
+    assert Counter(regions.values()) == {30: 7, 20: 3}
+    for place in fleet.places.values():
+        assert place.zone % 10 == place.region
+    relays = [fleet.places[name] for name in fleet.relays if fleet.places[name].region == 0]
+    assert [one.zone for one in relays] == [0, 10]
+
+
+def test_a_zone_is_lost_with_its_relay_and_its_instances_come_back_to_the_other_one() -> None:
+    fleet = small(zones=6)
+    told = case(Load(fleet, 50, 50, 1), 5.0, 12.0, lambda: feed.zone_lost(fleet))
+    assert [name for name in fleet.relays if not fleet.places[name].alive] == ["r0.1"]
+    assert told["relay_followers_most"] >= 8  # all of the region, where 4 were before
+    assert all(fleet.places[name].since > 0 for name in feed.of_zone(fleet, 3))
+    assert not told["behind"]
+    assert told["last_ms"] < 7000
+    assert not fleet.faults()
+
+
+# ---- the writer dies
+
+
+def test_the_lease_is_as_long_as_a_keeper_s_where_nothing_is_said() -> None:
+    (lease,) = (one for one in msgspec.structs.fields(Feed) if one.name == "lease")
+    assert lease.default == LENGTH
+
+
+def test_another_writes_once_the_lease_has_run_out_and_the_old_one_follows_it() -> None:
+    fleet = small()
+    first = fleet.writer().name
+    died = fleet.now
+    feed.writer_dies(fleet)
+    fleet.run(died + 10 * SECOND, lambda: any(one.node.holds for one in keepers(fleet) if one.alive))
+    assert fleet.writer().name != first
+    assert LENGTH // 2 < fleet.now - died < LENGTH + SECOND
+    fleet.run(died + 30 * SECOND)
+    old = fleet.places[first]
+    assert old.alive
+    assert not old.node.holds  # type: ignore[attr-defined]
+    fleet.propose(Propose("later", (("common/x", b"{}"),)))
+    fleet.settle()
+    assert fleet.made["later"] == fleet.oracle.last == old.number
+    assert not fleet.faults()
+
+
+def keepers(fleet: VirtualFeed) -> list[Any]:
+    return [fleet.places[name] for name in fleet.kept]
+
+
+def test_what_is_asked_while_the_writer_is_dead_is_asked_again_until_it_is_known() -> None:
+    fleet = small()
+    told = case(Load(fleet, 50, 50, 1), 5.0, 12.0, lambda: feed.writer_dies(fleet))
+    assert told["changes"] == len(fleet.made)
+    assert not fleet.proposals
+    assert not told["behind"]
+    assert told["last_from_first_asking_ms"] > 4000  # who asked the dead one waited for its answer
+    assert told["last_ms"] <= told["last_from_first_asking_ms"]
+    assert not fleet.faults()
+
+
+def test_a_change_that_was_decided_and_not_acknowledged_is_the_same_when_it_is_asked_again() -> None:
+    fleet = small()
+    fleet.propose(Propose("once", (("common/x", b"{}"),)))
+    decided = fleet.index
+    records = fleet.leases.state.records
+    fleet.run(fleet.now + SECOND, lambda: any(b"once" in value for value, _ in records.values()))
+    assert fleet.index > decided
+    assert "once" not in fleet.made
+    feed.writer_dies(fleet)
+    fleet.propose(Propose("after", (("common/y", b"{}"),)))
+    fleet.run(fleet.now + 15 * SECOND)
+    fleet.settle()
+    assert sorted(fleet.made, key=fleet.made.__getitem__) == ["once", "after"]
+    assert fleet.oracle.last == fleet.start.number + 2
+    assert not fleet.faults()
+
+
+def test_a_request_with_two_numbers_and_a_number_nobody_knows_are_faults() -> None:
+    fleet = small()
+    keeper = fleet.places[fleet.kept[0]]
+    for number in (1, 2):
+        fleet.propose(Propose("twice", ()))
+        fleet._answer(keeper, fleet.tickets, Proposed("twice", fleet.oracle.last + number))
+    assert "twice is" in fleet.faults()[0]
+    fleet = small()
+    fleet.propose(Propose("later", ()))
+    fleet._answer(keeper, fleet.tickets, Proposed("later", fleet.oracle.last + 2))
+    assert "nobody who asked knows it" in fleet.faults()[-1]
+
+
+# ---- the cases of the run
+
+
+def plan() -> feed.Plan:
+    shape = {"regions": 3, "zones": 6, "relays": 2, "keepers": 3}
+    return feed.Plan(1, 50, 50, 24, shape, (3, 3), 2, 30)
+
+
+@pytest.mark.parametrize("name", ["a zone is lost", "the writer dies"])
+def test_a_case_on_a_fleet_of_its_own_is_the_same_for_the_same_seed(name: str) -> None:
+    (one, faults), (other, _) = (feed.fleet_case(plan(), name) for _ in range(2))
+    for told in (one, other):
+        del told["cpu_s_of_this_run"]
+    assert one == other
+    assert not faults
+    assert not one["behind"]
+
+
+def test_a_bar_is_missed_by_a_case_that_is_late_or_behind() -> None:
+    good = {"last_ms": 6000, "behind": 0, "counted": 1}
+    bars = feed.case_bars({"one": good, "two": {**good, "behind": 1}, "three": {**good, "last_ms": 7000}}, [])
+    assert [name for name, held in bars.items() if not held] == [
+        "feed: last in force under 7 s, two",
+        "feed: last in force under 7 s, three",
+    ]
+    assert not all(feed.case_bars({}, ["something"]).values())
--- a/thistleline/lab/scale/feed.py
+++ b/thistleline/lab/scale/feed.py
@@ -1,11 +1,13 @@
 """The change feed by the size of the fleet and of the table: messages and bytes of each role, time until a
 change is in force, memory of a table; beside what carries configuration today, a record that all ask for.
 
-Whole fleets in virtual time (lab/feedrun.py) with the reducers that run. Counts are the same for the same
-seed. How routes, tenants and their changes look is set here (`MIX`, the values), it was not measured.
+Whole fleets in virtual time (lab/feedrun.py, lab/polledrun.py) with the reducers that run, one for each case,
+in the long run in a process each. Counts are the same for the same seed. How routes, tenants and their
+changes look is set here (`MIX`, the values), it was not measured.
 """
 
 import gc
+import json
 import os
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
@@ -13,14 +15,16 @@
 from multiprocessing import get_context
 from random import Random
 from time import process_time
-from typing import Any
+from typing import Any, NamedTuple
 
 from thistleline.feed.bounds import MS, SECOND
 from thistleline.feed.messages import Propose
 from thistleline.feed.table import Table
 from thistleline.lab.feedmutants import prove
 from thistleline.lab.feedrun import VirtualFeed, quantile
-from thistleline.lab.scale.size import size
+from thistleline.lab.polledrun import PolledFleet
+from thistleline.lab.scale.council import FULL
+from thistleline.lab.scale.size import FOLDER, size
 from thistleline.lab.scale.slopes import Part, Row, Shape, judge, loop_cpu, memory_of, row, steps_of
 from thistleline.steward.service import POLL
 
@@ -31,6 +35,8 @@
 LOOKS = 0.05  # tenants an instance begins to look up in a second
 HOT = 50
 SLOW = (SECOND, 2500 * MS)  # a slow instance comes to its messages so often
+ZONE_DEAD, WRITER_DEAD = 5 * SECOND, 20 * SECOND
+WORKERS = 5  # processes of the long run beside the first, 0.6 GB each
 QUICK_SIZES = [60, 200, 600, 2000]
 ENTRIES = [1_000, 3_000, 10_000, 30_000]
 
@@ -46,6 +52,7 @@
 PLAIN_MEMORY = "feed: bytes of a plain dict by route"
 ALL_MEMORY = "feed: bytes of a relay's table by tenant"
 READS = "today: reads of the council a second"
+LEADER_BYTES = "today: bytes of the council's leader a second"
 
 PROMISED: dict[str, Shape] = {
     WRITER: "flat",
@@ -96,13 +103,12 @@
     return Table().moved(1, entries())
 
 
-class Load:
-    """Changes to a fleet, drawn from a seed."""
+class Changes:
+    """Changes of a table, drawn from a seed."""
 
-    def __init__(self, fleet: VirtualFeed, routes: int, tenants: int, seed: int) -> None:
-        self.fleet, self.routes, self.tenants = fleet, routes, tenants
+    def __init__(self, routes: int, tenants: int, seed: int) -> None:
+        self.routes, self.tenants = routes, tenants
         self.chance, self.count = Random(seed), 0
-        self.looks = Random(seed + 1)  # guards against fleets of other sizes getting other changes
 
     def tenant(self, chance: Random) -> str:
         """One of a few every other time, so that what is held changes."""
@@ -122,14 +128,28 @@
                 items[route_key(place)] = route_value(chance) if chance.random() < 0.97 else None
         return Propose(f"change-{self.count}", tuple(items.items()))
 
+    def drawn(self, now: int, rate: float, seconds: float) -> Iterator[tuple[int, Propose]]:
+        """So many a second, for so long from `now` on: when and which."""
+        when, end = float(now), now + seconds * SECOND
+        while (when := when + self.chance.expovariate(rate) * SECOND) < end:
+            yield int(when), self.change()
+
+
+class Load(Changes):
+    """Changes to a fleet."""
+
+    def __init__(self, fleet: VirtualFeed, routes: int, tenants: int, seed: int) -> None:
+        super().__init__(routes, tenants, seed)
+        self.fleet = fleet
+        self.looks = Random(seed + 1)  # guards against fleets of other sizes getting other changes
+
     def plan(self, rate: float, seconds: float) -> None:
         """So many changes a second, from now on; and what the instances look up meanwhile."""
         fleet = self.fleet
-        when, end = float(fleet.now), fleet.now + seconds * SECOND
-        while (when := when + self.chance.expovariate(rate) * SECOND) < end:
-            fleet.at(int(when), fleet.propose, self.change())
+        for at, propose in self.drawn(fleet.now, rate, seconds):
+            fleet.at(at, fleet.propose, propose)
         rate = LOOKS * len(fleet.instances)
-        when = float(fleet.now)
+        when, end = float(fleet.now), fleet.now + seconds * SECOND
         while (when := when + self.looks.expovariate(rate) * SECOND) < end:
             key, name = self.tenant(self.looks), self.looks.choice(fleet.instances)
             for later in range(3):  # asked for, then known, then perhaps another value
@@ -142,6 +162,7 @@
     """Changes for so long, with a fault after this part of it; then until all stand at the newest."""
     fleet = load.fleet
     fleet.took.clear()
+    fleet.took_all.clear()
     first, began = fleet.oracle.last, fleet.now
     names = fleet.instances
     before, above = fleet.totals(names), fleet.totals(fleet.relays)
@@ -169,6 +190,7 @@
         (new[0] + new[1] - old[0] - old[1]) / spent
         for old, new in zip(above, fleet.totals(fleet.relays), strict=True)
     ]
+    followers = max(len(fleet.places[one].peers) for one in fleet.relays if fleet.places[one].alive)
     cpu = sum(new[5] - old[5] for old, new in zip(before, fleet.totals(names), strict=True))
     (written,) = fleet.totals([writer])
     settled = fleet.settle()
@@ -178,6 +200,7 @@
         "middle_ms": quantile(fleet.took, 0.5),
         "of_99_in_100_ms": quantile(fleet.took, 0.99),
         "last_ms": max(fleet.took, default=0),
+        "last_from_first_asking_ms": max((*fleet.took, *fleet.took_all), default=0),
         "counted": sum(fleet.took.values()),
         "settled_s": round(settled / SECOND, 2),
         "behind": fleet.behind(),
@@ -188,6 +211,7 @@
         "relay_bytes_s": round(sum(relay_bytes) / len(relay_bytes), 1),
         "relay_bytes_s_most": round(max(relay_bytes), 1),
         "relay_messages_s": round(sum(relay_told) / len(relay_told), 2),
+        "relay_followers_most": followers,
         "writer_messages_change": round((written[0] + written[1] - wrote[0] - wrote[1]) / max(1, changes), 2),
         "writer_bytes_change": round((written[2] + written[3] - wrote[2] - wrote[3]) / max(1, changes), 1),
     }
@@ -200,28 +224,40 @@
     fleet.kill(fleet.relays[0])
 
 
-def rack_returns(fleet: VirtualFeed, many: int, dead: int) -> Callable[[], None]:
-    """So many of one region are gone, and there again by what they had on disk after `dead` ns."""
-    names = [one for one in fleet.instances if fleet.places[one].region == 0][:many]
+def of_zone(fleet: VirtualFeed, zone: int) -> list[str]:
+    return [one for one in fleet.instances if fleet.places[one].zone == zone]
 
-    def fault() -> None:
-        for name in names:
-            fleet.kill(name)
-            fleet.at(fleet.now + dead + fleet.chance.randrange(SECOND), fleet.restart, name, False)
 
-    return fault
+def returns(fleet: VirtualFeed, names: list[str], dead: int, spread: int, cold: bool) -> None:
+    """They are gone, and there again after `dead` ns and up to `spread` more."""
+    for name in names:
+        fleet.kill(name)
+        fleet.at(fleet.now + dead + fleet.chance.randrange(spread), fleet.restart, name, cold)
+
+
+def rack_returns(fleet: VirtualFeed, many: int, dead: int) -> None:
+    """So many of one zone, by what they had on disk."""
+    returns(fleet, of_zone(fleet, 0)[:many], dead, SECOND, False)
+
 
+def zone_returns(fleet: VirtualFeed) -> None:
+    """A zone's instances come up with nothing on disk, within two seconds, while the others of the largest
+    region are served by the same relays."""
+    returns(fleet, of_zone(fleet, 0), SECOND, 2 * SECOND, True)
 
-def zone_returns(fleet: VirtualFeed, many: int) -> Callable[[], None]:
-    """So many of one region come up with nothing on disk, within two seconds."""
-    names = [one for one in fleet.instances if fleet.places[one].region == fleet.regions - 1][:many]
 
-    def fault() -> None:
-        for name in names:
+def zone_lost(fleet: VirtualFeed) -> None:
+    """A zone is gone with the relay that stands in it. Its instances come back, the relay does not."""
+    zone = fleet.places[fleet.relays[1]].zone
+    for name in fleet.relays:
+        if fleet.places[name].zone == zone:
             fleet.kill(name)
-            fleet.at(fleet.now + SECOND + fleet.chance.randrange(2 * SECOND), fleet.restart, name, True)
+    returns(fleet, of_zone(fleet, zone), ZONE_DEAD, 2 * SECOND, False)
 
-    return fault
+
+def writer_dies(fleet: VirtualFeed) -> None:
+    """Whoever has the lease next writes on; the old one comes back by what it had on disk."""
+    returns(fleet, [fleet.writer().name], WRITER_DEAD, SECOND, False)
 
 
 def some_slow(fleet: VirtualFeed) -> list[str]:
@@ -280,6 +316,7 @@
     """The same changes to fleets of four sizes, with as many relays."""
     routes, tenants, rate, seconds = 300, 300, 5.0, 6.0
     found: list[dict[str, Any]] = []
+    today: list[dict[str, Any]] = []
     faults: list[str] = []
     for many in QUICK_SIZES:
         fleet = VirtualFeed(made_table(routes, tenants, seed), seed, many, regions=2, relays=2, keepers=3)
@@ -288,6 +325,10 @@
         faults += fleet.faults()
         tell(f"feed: {many} instances: {one}")
         found.append(one)
+        polled = PolledFleet(record_entries(routes, tenants, seed), seed, many, regions=2, voters=3)
+        told = polled_case(polled, Changes(routes, tenants, seed), rate, seconds)
+        tell(f"feed: {many} instances, a record polled: {told}")
+        today.append(told)
 
     def of(name: str, unit: str, what: str, at: str = "instances", parts: int = 1) -> Row:
         sizes = [many // parts for many in QUICK_SIZES]
@@ -311,8 +352,13 @@
         of(RELAY_BYTES, "bytes", "relay_bytes_s", parts=4),
         of(INSTANCE, "messages", "instance_messages_s"),
         of(INSTANCE_BYTES, "bytes", "instance_bytes_s"),
-        row(READS, "count", "reads", "instance", QUICK_SIZES, [many / POLL for many in QUICK_SIZES],
-            size("instances"), note="by the constant of steward/service.py, no run"),
+        *(
+            row(name, "count", unit, "instance", QUICK_SIZES, [one[what] for one in today], size("instances"),
+                note=f"{rate:g} changes a second, a record of {today[0]['entries']} entries")
+            for name, unit, what in (
+                (READS, "reads", "leader_reads_s"), (LEADER_BYTES, "bytes", "source_bytes_s"),
+            )
+        ),
     ]  # fmt: skip
     return (
         rows,
@@ -332,55 +378,147 @@
 
 
 CASES = (
-    "calm",
     "ten times",
+    "one in 100 slow",
+    "a zone returns cold",
+    "the writer dies",
+    "a zone is lost",
     "a relay dies",
     "a rack returns",
-    "a zone returns cold",
-    "one in 100 slow",
     "split",
+    "calm",
 )
+UNBOUND, BOUND = "a record polled by all", "a record polled by all, the leader's core as measured"
+FACTORS = {"calm": 1, "ten times": 10}  # of the day's rate
 
 
-def cases(
-    table: Table, seed: int, instances: int, shape: dict[str, int], names: tuple[str, ...],
-    spans: tuple[float, float], rack: int, zone: int, changes: int, tell: Tell, timed: bool = False,
-) -> tuple[dict[str, Any], list[str]]:  # fmt: skip
-    """Each of these on one fleet, one after the other; and all faults that were found. `spans`: seconds of
-    changes, without a fault and with one."""
-    span, with_fault = spans
-    routes, tenants = len(table.wide) - 1, len(table.tenants)
-    fleet = VirtualFeed(table, seed, instances, timed=timed, **shape)
+class Plan(NamedTuple):
+    """Of the cases. `spans`: seconds of changes, without a fault and with one; `changes`: of a split."""
+
+    seed: int
+    routes: int
+    tenants: int
+    instances: int
+    shape: dict[str, int]
+    spans: tuple[float, float]
+    rack: int
+    changes: int
+    timed: bool = False
+
+    def span(self, name: str) -> float:
+        """Seconds of changes in that case."""
+        least = {"calm": 10, "a zone is lost": 12, "the writer dies": 40}.get(name, 0)
+        return max(self.spans[0 if name in FACTORS else 1], least)
+
+
+def rate_of(name: str) -> float:
+    """Changes a second in that case."""
+    return size("changes_day") / DAY * FACTORS.get(name, 10)
+
+
+def fleet_case(plan: Plan, name: str) -> tuple[dict[str, Any], list[str]]:
+    """One case on a fleet of its own, and all faults that were found."""
+    began = process_time()
+    table = made_table(plan.routes, plan.tenants, plan.seed)
+    fleet = VirtualFeed(table, plan.seed, plan.instances, timed=plan.timed, **plan.shape)
     begin(fleet)
-    load = Load(fleet, routes, tenants, seed)
-    day = size("changes_day") / DAY
-    found: dict[str, Any] = {}
-    for name in names:
-        slow: list[str] = []
-        began = process_time()
-        if name == "calm":
-            told = case(load, day, max(span, 10))
-        elif name == "ten times":
-            told = case(load, 10 * day, span)
-        elif name == "a relay dies":
-            told = case(load, 10 * day, with_fault, lambda: relay_dies(fleet))
-        elif name == "a rack returns":
-            told = case(load, 10 * day, with_fault, rack_returns(fleet, rack, int(with_fault / 4 * SECOND)))
-        elif name == "a zone returns cold":
-            told = case(load, 10 * day, with_fault, zone_returns(fleet, zone))
-        elif name == "one in 100 slow":
-            slow = some_slow(fleet)
-            told = case(load, 10 * day, with_fault)
-        else:
-            told = split(load, changes, changes / 30)
-        for one in slow:
-            fleet.slow(one, 0)
-        told["cpu_s_of_this_run"] = round(process_time() - began, 1)
-        found[name] = told
-        tell(f"feed: {name}: {told}")
-    found["refused"] = len(fleet.refused)
-    found["looked"] = dict(fleet.looked)
-    return found, fleet.faults() + [f"refused: {why}" for why in fleet.refused[:3]]
+    load = Load(fleet, plan.routes, plan.tenants, plan.seed)
+    faults: dict[str, Callable[[], None]] = {
+        "a relay dies": lambda: relay_dies(fleet),
+        "a rack returns": lambda: rack_returns(fleet, plan.rack, int(plan.span(name) / 4 * SECOND)),
+        "a zone returns cold": lambda: zone_returns(fleet),
+        "a zone is lost": lambda: zone_lost(fleet),
+        "the writer dies": lambda: writer_dies(fleet),
+    }
+    if name == "split":
+        told = split(load, plan.changes, plan.changes / 30)
+    else:
+        if name == "one in 100 slow":
+            some_slow(fleet)
+        told = case(load, rate_of(name), plan.span(name), faults.get(name))
+    if name == "the writer dies":
+        del told["writer_messages_change"], told["writer_bytes_change"]  # of the one that died
+    told |= {"refused": len(fleet.refused)} | {f"looked up, {what}": n for what, n in fleet.looked.items()}
+    told["cpu_s_of_this_run"] = round(process_time() - began, 1)
+    return told, fleet.faults() + [f"refused: {why}" for why in fleet.refused[:3]]
+
+
+def record_entries(routes: int, tenants: int, seed: int) -> Iterator[tuple[str, bytes]]:
+    """All entries, so that a part of them from the beginning on has routes and tenants in proportion."""
+    chance = Random(seed)
+    for place in range(routes):
+        yield route_key(place), route_value(chance)
+        for tenant in range(tenants * place // routes, tenants * (place + 1) // routes):
+            yield tenant_key(tenant), tenant_value(chance)
+
+
+def polled_case(fleet: PolledFleet, changes: Changes, rate: float, seconds: float) -> dict[str, Any]:
+    """The changes of `case`, to those who poll."""
+    fleet.run(10 * SECOND)
+    began, held, before, first = fleet.now, fleet.shares(), fleet.totals(), fleet.number
+    for at, propose in changes.drawn(began, rate, seconds):
+        fleet.at(at, fleet.propose, propose)
+    fleet.run(began + int(seconds * SECOND))
+    spent = (fleet.now - began) / SECOND
+    reads, leader, instances = (
+        (new - old) / spent for old, new in zip(before, fleet.totals(), strict=True)
+    )
+    settled = fleet.settle()
+    return {
+        "changes": fleet.changes,
+        "middle_ms": quantile(fleet.took, 0.5),
+        "of_99_in_100_ms": quantile(fleet.took, 0.99),
+        "last_ms": max(fleet.took, default=0),
+        "counted": sum(fleet.took.values()),
+        "settled_s": round(settled / SECOND, 2),
+        "behind": fleet.behind(),
+        "instance_bytes_s": round(instances / len(fleet.stewards), 1),
+        "source_bytes_s": round(leader),
+        "leader_reads_s": round(reads, 1),
+        "records": fleet.number - first,
+        "routes": held["route"],
+        "tenants": held["tenant"],
+        "entries": sum(held.values()),
+        "carried": sum(held.values()) / (changes.routes + changes.tenants),
+    }
+
+
+def answered_s() -> float:
+    """Reads a second that fill the leader's core, by the run of real processes."""
+    told = json.loads((FOLDER / "instance.json").read_text())
+    return float(told["figures"]["council"][FULL]) / POLL
+
+
+def polled(plan: Plan, name: str, reads_s: float) -> dict[str, Any]:
+    """Who polls, at the rate of the case `name`."""
+    began = process_time()
+    entries = record_entries(plan.routes, plan.tenants, plan.seed)
+    regions, voters = plan.shape["regions"], plan.shape["keepers"]
+    fleet = PolledFleet(entries, plan.seed, plan.instances, regions, voters, reads_s)
+    changes = Changes(plan.routes, plan.tenants, plan.seed)
+    told = polled_case(fleet, changes, rate_of(name), plan.span(name))
+    return told | {"cpu_s_of_this_run": round(process_time() - began, 1)}
+
+
+def beside(plan: Plan, found: dict[str, Any], today: dict[tuple[str, str], Any]) -> dict[str, Any]:
+    """The feed and what is there today, a line each; `source`: the feed's writer, or the council's leader."""
+    told: dict[str, Any] = {}
+    for name in FACTORS:
+        feed = found[name]
+        same = ("changes", "middle_ms", "of_99_in_100_ms", "last_ms", "counted", "settled_s", "behind")
+        told[f"{name}, the feed"] = {
+            **{what: feed[what] for what in (*same, "instance_bytes_s")},
+            "source_bytes_s": round(feed["writer_bytes_change"] * feed["changes"] / plan.span(name)),
+            "routes": plan.routes,
+            "tenants": plan.tenants,
+            "carried": 1.0,
+        }
+        for way in (UNBOUND, BOUND):
+            one = dict(today[name, way])
+            for what in ("instance_bytes_s", "source_bytes_s", "last_ms"):
+                one[f"{what}_to_the_feed"] = round(one[what] / told[f"{name}, the feed"][what], 1)
+            told[f"{name}, {way}"] = one
+    return told
 
 
 def case_bars(found: dict[str, Any], faults: list[str]) -> dict[str, bool]:
@@ -390,7 +528,7 @@
         and not one["behind"]
         and one["counted"] > 0
         for name, one in found.items()
-        if name in CASES and name != "split"
+        if name != "split"
     }
     if "split" in found:
         bars["feed: all caught up under 7 s after a split"] = (
@@ -532,18 +670,6 @@
     }
 
 
-def today(instances: int, table: Table) -> dict[str, Any]:
-    """What is there today, by its constants: a record that each steward reads anew each time."""
-    carried = sum(len(key) + len(value) for key, value, _ in table.entries("all"))
-    reads = instances / POLL
-    return {
-        "reads_of_the_council_s": round(reads),
-        "bytes_of_the_record": carried,
-        "bytes_s_an_instance_if_it_reads_all_each_time": round(carried / POLL),
-        "bytes_s_an_instance_if_only_after_a_change": round(carried * size("changes_day") / DAY),
-    }
-
-
 def measure(quick: bool, seed: int, tell: Tell) -> Part:
     tell("feed: tables")
     rows, figures = tables(seed, ENTRIES)
@@ -551,21 +677,34 @@
     more, found, bars = fleets(seed, quick, tell)
     rows += more
     figures |= found
-    if quick:
-        table = made_table(1_000, 2_000, seed)
-        shape = {"regions": 4, "relays": 2, "keepers": 3}
-        told, faults = cases(table, seed, 200, shape, CASES, (6, 6), 8, 20, 300, tell)
-    else:
+    if not quick:
         figures["own table"] = own_table(size("routes"))
-        table = made_table(size("routes"), size("tenants"), seed)
-        shape = {"regions": size("regions"), "relays": 2, "keepers": 5}
-        told, faults = cases(
-            table, seed, size("instances"), shape, CASES, (60, 20), size("rack"), size("zone"),
-            size("changes_day") // 24, tell, timed=True,
-        )  # fmt: skip
-    figures |= {"cases": told, "faults": faults, "today": today(size("instances"), table)}
     figures["costs of a change"] = apply_costs(made_table(size("routes"), 1, seed))
-    figures["explored"], good, caught = prove(1_000 if quick else 50_000, tell)
+    if quick:
+        shape = {"regions": 4, "zones": 10, "relays": 2, "keepers": 3}
+        plan = Plan(seed, 1_000, 2_000, 200, shape, (6, 6), 8, 300)
+    else:
+        shape = {"regions": size("regions"), "zones": size("zones"), "relays": 2, "keepers": 5}
+        plan = Plan(seed, size("routes"), size("tenants"), size("instances"), shape, (60, 60), size("rack"),
+                    size("changes_day") // 24, True)  # fmt: skip
+    reads = {UNBOUND: 0.0, BOUND: answered_s()}
+    ways = [(name, way) for name in FACTORS for way in reads]
+    with ProcessPoolExecutor(1 if quick else WORKERS, get_context("spawn")) as pool:
+        told = {name: pool.submit(fleet_case, plan, name) for name in CASES}
+        today = {way: pool.submit(polled, plan, way[0], reads[way[1]]) for way in ways}
+        figures["explored"], good, caught = prove(1_000 if quick else 50_000, tell)
+        figures["cases"] = {name: one.result()[0] for name, one in told.items()}
+        figures["today"] = beside(plan, figures["cases"], {way: one.result() for way, one in today.items()})
+    for name, one in (figures["cases"] | figures["today"]).items():
+        tell(f"feed: {name}: {one}")
+    figures["faults"] = faults = [f"{name}: {why}" for name, one in told.items() for why in one.result()[1]]
     bars |= {"feed: explored, nothing wrong": good, "feed: each protection left out is found": caught}
-    bars |= judge(rows, PROMISED) | case_bars(told, faults)
+    bars |= judge(rows, PROMISED) | case_bars(figures["cases"], faults)
+    bars |= {
+        f"feed: fewer bytes an instance than a record polled by all, {name}": figures["today"][
+            f"{name}, {UNBOUND}"
+        ]["instance_bytes_s_to_the_feed"]
+        > 1
+        for name in FACTORS
+    }
     return {"rows": rows, "figures": figures, "bars": bars}
