--- a/thistleline/lab/scale/feed.py
+++ b/thistleline/lab/scale/feed.py
@@ -36,7 +36,7 @@
 HOT = 50
 SLOW = (SECOND, 2500 * MS)  # a slow instance comes to its messages so often
 ZONE_DEAD, WRITER_DEAD = 5 * SECOND, 20 * SECOND
-WORKERS = 5  # processes of the long run beside the first, 0.6 GB each
+WORKERS = 5  # processes of the long run beside the first, up to 1 GB each
 QUICK_SIZES = [60, 200, 600, 2000]
 ENTRIES = [1_000, 3_000, 10_000, 30_000]
 
