--- a/thistleline/lab/scale/feed.py
+++ b/thistleline/lab/scale/feed.py
@@ -2,7 +2,7 @@
 change is in force, memory of a table; beside what carries configuration today, a record that all ask for.
 
 Whole fleets in virtual time (lab/feedrun.py, lab/polledrun.py) with the reducers that run, one for each case,
-in the long run in a process each. Counts are the same for the same seed. How routes, tenants and their
+some at a time in processes of their own. Counts are the same for the same seed. How routes, tenants and their
 changes look is set here (`MIX`, the values), it was not measured.
 """
 
@@ -312,7 +312,7 @@
 # ---- by the fleet
 
 
-def fleets(seed: int, quick: bool, tell: Tell) -> tuple[list[Row], dict[str, Any], dict[str, bool]]:
+def fleets(seed: int) -> tuple[list[Row], dict[str, Any], dict[str, bool]]:
     """The same changes to fleets of four sizes, with as many relays."""
     routes, tenants, rate, seconds = 300, 300, 5.0, 6.0
     found: list[dict[str, Any]] = []
@@ -323,12 +323,9 @@
         begin(fleet)
         one = case(Load(fleet, routes, tenants, seed), rate, seconds)
         faults += fleet.faults()
-        tell(f"feed: {many} instances: {one}")
         found.append(one)
         polled = PolledFleet(record_entries(routes, tenants, seed), seed, many, regions=2, voters=3)
-        told = polled_case(polled, Changes(routes, tenants, seed), rate, seconds)
-        tell(f"feed: {many} instances, a record polled: {told}")
-        today.append(told)
+        today.append(polled_case(polled, Changes(routes, tenants, seed), rate, seconds))
 
     def of(name: str, unit: str, what: str, at: str = "instances", parts: int = 1) -> Row:
         sizes = [many // parts for many in QUICK_SIZES]
@@ -362,7 +359,10 @@
     ]  # fmt: skip
     return (
         rows,
-        {"fleets": dict(zip(map(str, QUICK_SIZES), found, strict=True))},
+        {
+            "fleets": dict(zip(map(str, QUICK_SIZES), found, strict=True)),
+            "fleets that poll": dict(zip(map(str, QUICK_SIZES), today, strict=True)),
+        },
         {
             f"feed: all hold the same, up to {QUICK_SIZES[-1]} instances": not faults,
             "feed: last in force under 7 s by the fleet": max(one["last_ms"] for one in found)
@@ -562,7 +562,7 @@
     return {key: (value, version) for key, value, version in _fresh(told)}
 
 
-def tables(seed: int, sizes: list[int]) -> tuple[list[Row], dict[str, Any]]:
+def tables(seed: int, sizes: list[int]) -> list[Row]:
     """Memory of tables, steps of a change, bytes of a start from nothing."""
     wide, plain, tenants, steps, cold = [], [], [], [], []
     for many in sizes:
@@ -576,7 +576,7 @@
         steps.append(steps_of(partial(table.moved, 2, items)))
         cold.append(cold_bytes(table, seed))
     at = size("routes")
-    rows = [
+    return [
         row(WIDE_MEMORY, "memory", "bytes", "route", sizes, wide, at, note="keys and values with it"),
         row(
             PLAIN_MEMORY,
@@ -601,7 +601,6 @@
         ),
         row(COLD_BYTES, "count", "bytes", "route", sizes, cold, at),
     ]
-    return rows, {}
 
 
 def _resident() -> int:
@@ -671,15 +670,6 @@
 
 
 def measure(quick: bool, seed: int, tell: Tell) -> Part:
-    tell("feed: tables")
-    rows, figures = tables(seed, ENTRIES)
-    tell("feed: fleets by their size")
-    more, found, bars = fleets(seed, quick, tell)
-    rows += more
-    figures |= found
-    if not quick:
-        figures["own table"] = own_table(size("routes"))
-    figures["costs of a change"] = apply_costs(made_table(size("routes"), 1, seed))
     if quick:
         shape = {"regions": 4, "zones": 10, "relays": 2, "keepers": 3}
         plan = Plan(seed, 1_000, 2_000, 200, shape, (6, 6), 8, 300)
@@ -687,15 +677,24 @@
         shape = {"regions": size("regions"), "zones": size("zones"), "relays": 2, "keepers": 5}
         plan = Plan(seed, size("routes"), size("tenants"), size("instances"), shape, (60, 60), size("rack"),
                     size("changes_day") // 24, True)  # fmt: skip
+    figures: dict[str, Any] = {"costs of a change": apply_costs(made_table(size("routes"), 1, seed))}
+    if not quick:
+        figures["own table"] = own_table(size("routes"))
     reads = {UNBOUND: 0.0, BOUND: answered_s()}
     ways = [(name, way) for name in FACTORS for way in reads]
-    with ProcessPoolExecutor(1 if quick else WORKERS, get_context("spawn")) as pool:
+    with ProcessPoolExecutor(2 if quick else WORKERS, get_context("spawn")) as pool:
+        by_size = pool.submit(fleets, seed)
         told = {name: pool.submit(fleet_case, plan, name) for name in CASES}
         today = {way: pool.submit(polled, plan, way[0], reads[way[1]]) for way in ways}
+        tell("feed: tables")
+        rows = tables(seed, ENTRIES)
         figures["explored"], good, caught = prove(1_000 if quick else 50_000, tell)
         figures["cases"] = {name: one.result()[0] for name, one in told.items()}
         figures["today"] = beside(plan, figures["cases"], {way: one.result() for way, one in today.items()})
-    for name, one in (figures["cases"] | figures["today"]).items():
+        more, found, bars = by_size.result()
+    rows += more
+    figures |= found
+    for name, one in (found["fleets"] | figures["cases"] | figures["today"]).items():
         tell(f"feed: {name}: {one}")
     figures["faults"] = faults = [f"{name}: {why}" for name, one in told.items() for why in one.result()[1]]
     bars |= {"feed: explored, nothing wrong": good, "feed: each protection left out is found": caught}
