--- a/thistleline/lab/polledrun.py
+++ b/thistleline/lab/polledrun.py
@@ -82,9 +82,10 @@
         regions: int = 10,
         voters: int = 5,
         reads_s: float = 0,
+        zones: int = 0,
     ) -> None:
         """`entries`: what the first record is made of, in the order in which they find room; `reads_s`: what
-        the leader's processor answers in a second, 0 for all that come."""
+        the leader's processor answers in a second, 0 for all that come; `zones` as of VirtualFeed."""
         super().__init__()
         self.chance, self.reads_s = Random(seed), reads_s
         self.regions, self.apart = regions, delays(self.chance, regions)
@@ -101,7 +102,9 @@
         self.coming = 0  # changes on their way there
         self.sizes: dict[tuple[str, int], int] = {}
         self.took: Counter[int] = Counter()  # ms from asking to in force: how many (change, instance)
-        self.stewards = [Steward(f"i{place:05}", place % regions) for place in range(instances)]
+        self.stewards = [
+            Steward(f"i{place:05}", place % (zones or regions) % regions) for place in range(instances)
+        ]
         self._record()
         for steward in self.stewards:
             self.at(self.chance.randrange(WANT_AT), self._asks, steward, want_key(steward.name))
--- a/thistleline/lab/scale/feed.py
+++ b/thistleline/lab/scale/feed.py
@@ -493,8 +493,8 @@
     """Who polls, at the rate of the case `name`."""
     began = process_time()
     entries = record_entries(plan.routes, plan.tenants, plan.seed)
-    regions, voters = plan.shape["regions"], plan.shape["keepers"]
-    fleet = PolledFleet(entries, plan.seed, plan.instances, regions, voters, reads_s)
+    regions, voters, zones = (plan.shape[what] for what in ("regions", "keepers", "zones"))
+    fleet = PolledFleet(entries, plan.seed, plan.instances, regions, voters, reads_s, zones)
     changes = Changes(plan.routes, plan.tenants, plan.seed)
     told = polled_case(fleet, changes, rate_of(name), plan.span(name))
     return told | {"cpu_s_of_this_run": round(process_time() - began, 1)}
