lab scale: the part 'control' measures steward, conductor and decider of zones

The part counts, by the reducers that run: a steward's look by wants followed, its state's bytes, what it tells its member, a check of a release, what a restart costs; a conductor's picture, look, slot, reads of the council, comparisons of ids in C; the decider's picture and decision by instances, zones, stages and entries of reports.

--- /dev/null
+++ b/tests/test_scale_control.py
@@ -0,0 +1,220 @@
+"""What `lab scale` counts of stewards, the conductor, the decider of zones, and that it would notice more."""
+
+from typing import Any
+
+import pytest
+
+from thistleline.conductor.conducting import Conducting
+from thistleline.conductor.judge import Judge
+from thistleline.conductor.roll import ORDER_KEY
+from thistleline.conductor.service import Records
+from thistleline.lab.scale import control
+from thistleline.lab.scale.members import word_bytes
+from thistleline.lab.scale.slopes import Row, judge, steps_of
+from thistleline.steward.keeping import Keeping, Want
+from thistleline.steward.releases import Releases
+from thistleline.steward.service import POLL
+from thistleline.zones.decision import Deciding
+from thistleline.zones.picture import Pictures
+
+SIZES = [30, 60, 120, 300]
+
+
+def missed(rows: list[Row]) -> list[str]:
+    names = {one["name"] for one in rows}
+    bars = judge(rows, {name: shape for name, shape in control.PROMISED.items() if name in names})
+    return [name for name, held in bars.items() if not held]
+
+
+def of(what: str, sizes: list[int], call: Any) -> list[str]:
+    """What is missed of one promise."""
+    return missed([control.counted(control.Case(what, sizes, call))])
+
+
+LOOK = "conductor: steps of a look in a change by instance"
+CALM = "decider: steps of a decision in calm by stage"
+
+
+def test_a_quick_run_counts_alone_and_holds_its_promises() -> None:
+    told = control.measure(True, 7, lambda words: None)
+    assert {one["kind"] for one in told["rows"]} == {"count"}
+    assert set(control.PROMISED) == {one["name"] for one in told["rows"]}
+    assert [bar for bar, held in told["bars"].items() if not held] == []
+
+
+def test_the_same_seed_counts_the_same() -> None:
+    for call in (lambda: control.conducted(81, 10, 7).slot, lambda: control.decided(54, 3, True).decide):
+        assert steps_of(call()) == steps_of(call())
+    assert control.compared_in_slot(60, 7) == control.compared_in_slot(60, 7)
+    assert control.a_restart() == control.a_restart()
+
+
+# ---- the steward
+
+
+def test_a_restart_costs_a_steward_its_notes_and_words_and_no_question_unless_settings_are_new() -> None:
+    found = control.a_restart()
+    assert {name: one["questions to the council"] for name, one in found.items()} == {
+        "crash": 0, "started anew": 0, "started anew, beside": 0,
+        "other settings": 1, "other settings, beside": 1,
+    }  # fmt: skip
+    assert found["crash"]["notes to disk"] == 1
+    assert found["other settings, beside"]["notes to disk"] == 4  # want, heir, serves, good
+    for one in found.values():
+        assert one["bytes of these words"] == one[control.WORDS] * word_bytes()
+    assert found["started anew, beside"][control.WORDS] < found["started anew"][control.WORDS]
+
+
+def test_a_calm_hour_is_a_question_and_an_answer_each_poll() -> None:
+    told = control.calm_hour()
+    assert told["messages an hour"] == 2 * 3600 / POLL
+    assert told["bytes an hour"] == told["bytes a question and answer"] * 3600 / POLL
+
+
+def test_a_steward_that_looks_through_all_it_followed_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    had = Keeping._want
+
+    def through_all(self: Keeping, want: Want) -> None:
+        known: list[Want] = self.__dict__.setdefault("known", [])
+        if all(one != want for one in known):
+            known.append(want)
+        had(self, want)
+
+    monkeypatch.setattr(Keeping, "_want", through_all)
+    what = "steward: steps of a look with nothing new by want"
+    assert of(what, [3, 10, 30, 60], lambda n: control.followed(n).look) == [f"{what}: flat"]
+
+
+def test_a_steward_that_notes_more_each_time_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    had = Keeping._want
+
+    def longer(self: Keeping, want: Want) -> None:
+        count = 0 if self.state.want is None else len(self.state.want.version.reads)
+        version = control.version(want.number)
+        grown = type(version)(version.release, version.digest, version.settings, version.settings_digest,
+                              (3,) * (count + 1), 4)  # fmt: skip
+        had(self, Want(want.epoch, want.number, grown, want.turn))
+
+    monkeypatch.setattr(Keeping, "_want", longer)
+    what = "steward: bytes of its state by want"
+    assert of(what, [3, 10, 30, 60], lambda n: control.followed(n).state_bytes()) == [f"{what}: flat"]
+
+
+def test_a_check_that_looks_at_all_releases_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    had = Releases.verify
+
+    def all_of_them(self: Releases, name: str, digest: str) -> None:
+        for one in self.names():
+            had(self, one, digest)
+
+    monkeypatch.setattr(Releases, "verify", all_of_them)
+    what = "steward: steps of a check of a release by release"
+    assert of(what, [3, 10, 30, 60], control.steps_of_verify) == [f"{what}: flat"]
+
+
+def test_what_the_imports_of_a_process_hold_is_seen() -> None:
+    assert control.bare("pass") + (1 << 20) < control.bare("import anyio") < 1 << 30
+
+
+# ---- the conductor
+
+
+def test_a_conductor_that_takes_over_asks_for_the_want_of_each_and_then_for_the_order_alone() -> None:
+    (first, _), (second, _) = control.looks_asked(20)
+    assert first == 20 + 2  # the roll, each want, the order
+    assert second - first == 1
+
+
+def test_a_conductor_that_asks_for_all_wants_at_each_look_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    had = Records.get
+
+    async def again(self: Records, key: str) -> bytes | None:
+        if key == ORDER_KEY:
+            for place in range(len(self.versions) - 2):
+                await had(self, f"want/{place}")
+        return await had(self, key)
+
+    monkeypatch.setattr(Records, "get", again)
+    asked = {n: control.looks_asked(n) for n in SIZES}
+    what = "conductor: reads of the council of a later look by instance"
+    assert of(what, SIZES, lambda n: asked[n][1][0] - asked[n][0][0]) == [f"{what}: flat"]
+
+
+def test_a_look_that_passes_over_all_for_each_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    had = Conducting._bring
+
+    def for_each(self: Conducting, roll: Any, should: Any) -> None:
+        for one in self.members.values():
+            sum(other.up for other in self.members.values() if other.zone != one.zone)
+        had(self, roll, should)
+
+    monkeypatch.setattr(Conducting, "_bring", for_each)
+    assert of(LOOK, SIZES, lambda n: control.conducted(n, 0, 1).look) == [f"{LOOK}: linear"]
+
+
+def test_a_slot_that_holds_each_against_each_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    had = Judge._measure
+
+    def each(self: Judge, measure: Any, told: Any, cold: bool = False) -> None:
+        for one in told:
+            sum(other.tasks for other in told if other.zone != one.zone)
+        had(self, measure, told, cold)
+
+    monkeypatch.setattr(Judge, "_measure", each)
+    what = "conductor: steps of a slot judged by instance"
+    assert of(what, SIZES, lambda n: control.conducted(n, 0, 1).slot) == [f"{what}: linear"]
+
+
+def test_the_conductor_that_is_measured_judges_and_waits_for_room() -> None:
+    made = control.conducted(108, 10, 1).conducting
+    assert made.roll is not None
+    assert made.roll.phase == "going"
+    assert made.judge is not None
+    assert made.judge.compared == 3  # of four slots: the first is what the next is held against
+    assert len(made.changing) == 1
+    assert made.no_room
+
+
+def test_comparisons_in_c_are_counted() -> None:
+    control.Id.compared = 0
+    assert control.Id("a") in (control.Id("b"), control.Id("a"))
+    assert control.Id.compared == 2
+
+
+# ---- the decider of zones
+
+
+def test_a_lost_zone_that_is_measured_spills_and_calm_does_not() -> None:
+    calm, lost = control.Decided(54, 9, 4), control.Decided(54, 9, 4, True)
+    assert calm.decide().shares == ()
+    assert {one.origin for one in lost.decide().shares} == {"z00"}
+    assert lost.decide() == lost.decide()
+
+
+def test_a_decision_that_compares_stages_with_each_other_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    had = Deciding._fit
+
+    def each(self: Deciding, picture: Any, demand: Any, away: Any) -> None:
+        for _ in picture.demand:
+            sum(picture.demand.values()) + sum(1 for _ in picture.demand)
+        had(self, picture, demand, away)
+
+    monkeypatch.setattr(Deciding, "_fit", each)
+    assert of(CALM, [3, 10, 30, 60], lambda n: control.decided(54, n).decide) == [f"{CALM}: linear"]
+
+
+def test_a_picture_that_passes_over_all_reports_for_each_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    had = Pictures._zone
+
+    def each(self: Pictures, name: str, here: Any, believed: Any) -> Any:
+        for _ in believed:
+            sum(1 for _ in self.reports)
+        return had(self, name, here, believed)
+
+    monkeypatch.setattr(Pictures, "_zone", each)
+    what = "decider: steps of a picture by instance"
+    assert of(what, SIZES, lambda n: control.decided(n, 2).picture) == [f"{what}: linear"]
+
+
+def test_the_picture_for_a_look_holds_all_servers() -> None:
+    assert len(control.picturing(30)()) == 30
