lab scale: quick sizes of the conductor with old and new servers in each zone

Need: at 60 to 600 instances zones had unlike shares of new servers, which left 1.7% over in the slope of a look.

Sizes in steps of two servers a zone; 0.0% left over. The long run's sizes stay.

--- a/thistleline/lab/scale/control.py
+++ b/thistleline/lab/scale/control.py
@@ -489,8 +489,9 @@
 
 
 def conductor_rows(quick: bool, seed: int) -> list[Row]:
-    few = [60, 100, 300, 600]
-    fleets, cold = (few, few) if quick else ([60, 100, 300, 1000, 3000, 6600], [60, 100, 300, 1000, 1500])
+    fleets, cold = [60, 100, 300, 1000, 3000, 6600], [60, 100, 300, 1000, 1500]
+    if quick:  # new ones and old ones in each zone
+        fleets, cold = [54, 108, 270, 540], [60, 100, 300, 600]
     rolled = {n: conducted(n, 0, seed) for n in fleets}
     asked = {n: looks_asked(n) for n in fleets}
     cases = [
