A conductor's slot no longer grows with the square of the fleet

The control part of `lab scale` found two squares: `Conducting._slot` looked each server up in the tuple of all targets, and `Judge._measure_cold` took the middle of all warm old servers of a zone anew for each cold one of it. Now the targets are a set for the slot, and the middle is taken once a zone and measure. What is judged is the same; the tests of rolls pass as they are.

The promised shapes of both are linear now, and a test puts the tuple back and is told of it.

--- a/tests/test_scale_control.py
+++ b/tests/test_scale_control.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from thistleline.conductor import conducting
 from thistleline.conductor.conducting import Conducting
 from thistleline.conductor.judge import Judge
 from thistleline.conductor.roll import ORDER_KEY
@@ -165,6 +166,13 @@
     assert of(what, SIZES, lambda n: control.conducted(n, 0, 1).slot) == [f"{what}: linear"]
 
 
+def test_a_slot_that_looks_each_up_in_a_row_of_all_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    what = "conductor: comparisons of ids in a slot by instance"
+    assert of(what, SIZES, lambda n: control.compared_in_slot(n, 1)) == []
+    monkeypatch.setattr(conducting, "frozenset", tuple, raising=False)
+    assert of(what, SIZES, lambda n: control.compared_in_slot(n, 1)) == [f"{what}: linear"]
+
+
 def test_the_conductor_that_is_measured_judges_and_waits_for_room() -> None:
     made = control.conducted(108, 10, 1).conducting
     assert made.roll is not None
--- a/thistleline/conductor/conducting.py
+++ b/thistleline/conductor/conducting.py
@@ -300,6 +300,7 @@
 
     def _slot(self) -> None:
         roll, judge = self.roll, self.judge
+        changing = frozenset(roll.targets if roll is not None else ())
         told: list[Slot] = []
         # Where one does not say what its work was worth, counts are compared; guards against holding the
         # worth of new ones against the counts of old ones.
@@ -317,7 +318,7 @@
             came = max(1, tasks)
             worth, done = (max(0, here[k] - since[k]) for k in (8, 9))
             served = done / worth if says_worth and worth else finished / came
-            tried = one.id in roll.targets and not one.runs(roll.version)  # its crashes are counted below
+            tried = one.id in changing and not one.runs(roll.version)  # its crashes are counted below
             told.append(
                 Slot(one.id, one.zone, one.runs(roll.version), not one.warm, tasks, min(1.0, served),
                      min(1.0, rejected / came), min(1.0, abandoned / came), min(1.0, slow / max(1, finished)),
@@ -328,7 +329,7 @@
             for one in self.members.values():
                 crashed = one.figures[6] - self.crashes.get(one.id, 0) if len(one.figures) > 6 else 0
                 # One whose heirs die serves on with the old version; those deaths are the new one's.
-                if one.id in roll.targets and not one.runs(roll.version) and crashed > 0:
+                if one.id in changing and not one.runs(roll.version) and crashed > 0:
                     told.append(Slot(one.id, one.zone, True, True, 0, 0.0, 0.0, 0.0, 0.0, 0.0, crashed, 0))
             judge.take(told, [id for id in roll.targets if self._is(id, roll.version)])
 
--- a/thistleline/conductor/judge.py
+++ b/thistleline/conductor/judge.py
@@ -135,12 +135,15 @@
     def _measure_cold(self, measure: Measure, warm: list[Slot], cold: list[Slot]) -> None:
         """Of the same age, not of the same moment: how far each falls behind the warm old ones of its zone
         just then. The old ones that say so are controls, and any that came up by themselves."""
+        old: dict[str, list[float]] = {}
+        for one in warm if cold else ():
+            if not one.new:
+                old.setdefault(one.zone, []).append(getattr(one, measure.name))
+        middles = {zone: median(values) for zone, values in old.items()}
         for one in cold:
-            here = [other for other in warm if other.zone == one.zone and not other.new]
-            old = [getattr(other, measure.name) for other in here]
-            if not old:
+            if one.zone not in middles:
                 continue
-            behind = _worse(measure, getattr(one, measure.name), median(old))
+            behind = _worse(measure, getattr(one, measure.name), middles[one.zone])
             count, total = self.cold_old.get(measure.name, (0, 0.0))
             if not one.new:
                 self.cold_old[measure.name] = count + 1, total + behind
--- a/thistleline/lab/scale/control.py
+++ b/thistleline/lab/scale/control.py
@@ -449,8 +449,8 @@
     "conductor: steps of a look in a change by instance": "linear",
     "conductor: steps of a look in a change by zone": "linear",
     "conductor: steps of a slot judged by instance": "linear",
-    "conductor: steps of a slot judged, one in ten cold, by instance": "square",
-    "conductor: comparisons of ids in a slot by instance": "square",
+    "conductor: steps of a slot judged, one in ten cold, by instance": "linear",
+    "conductor: comparisons of ids in a slot by instance": "linear",
     FIRST_READS: "linear",
     "conductor: reads of the council of a later look by instance": "flat",
     "conductor: bytes of a later look's reads by instance": "flat",
@@ -489,9 +489,8 @@
 
 
 def conductor_rows(quick: bool, seed: int) -> list[Row]:
-    fleets, cold = [60, 100, 300, 1000, 3000, 6600], [60, 100, 300, 1000, 1500]
-    if quick:  # new ones and old ones in each zone
-        fleets, cold = [54, 108, 270, 540], [60, 100, 300, 600]
+    # Quick: new ones and old ones in each zone.
+    fleets = [54, 108, 270, 540] if quick else [60, 100, 300, 1000, 3000, 6600]
     rolled = {n: conducted(n, 0, seed) for n in fleets}
     asked = {n: looks_asked(n) for n in fleets}
     cases = [
@@ -501,10 +500,10 @@
         Case("conductor: steps of a look in a change by zone", [3, 9, 27, 81],
              lambda n: Conducted(162, n, 0, seed).look, "162 instances"),
         Case("conductor: steps of a slot judged by instance", fleets, lambda n: rolled[n].slot),
-        Case("conductor: steps of a slot judged, one in ten cold, by instance", cold,
+        Case("conductor: steps of a slot judged, one in ten cold, by instance", fleets,
              lambda n: conducted(n, 10, seed).slot),
-        Case("conductor: comparisons of ids in a slot by instance", [30, 60, 100, 300],
-             lambda n: compared_in_slot(n, seed), "in C, so no steps: `id in roll.targets`, a tuple"),
+        Case("conductor: comparisons of ids in a slot by instance", fleets,
+             lambda n: compared_in_slot(n, seed), "in C, so no steps"),
         Case(FIRST_READS, fleets, lambda n: asked[n][0][0], "one after the other"),
         Case("conductor: reads of the council of a later look by instance", fleets,
              lambda n: asked[n][1][0] - asked[n][0][0]),
