Scale lab: a region of the change feed on real sockets and disks

Need: the feed at the size was measured in virtual time alone, its processor time that of the reducers; real processes had a few hundred states. Not known were a relay's and a keeper's core and memory, a follower's share with encoding and sockets, starts from disk.

Change: part `feedsockets` of `lab scale`. The feed's fleet of the lab takes its ways between processes from a method, so that a region stands without relays of the lab.

--- a/thistleline/lab/feedfleet.py
+++ b/thistleline/lab/feedfleet.py
@@ -20,7 +20,6 @@
 from thistleline.lab.harness import Fleet, Hung, Process, free_port
 from thistleline.links.address import Address
 
-LEASE = "1s"
 PAIRS = 4
 PATIENCE = 25.0  # s for what is awaited
 
@@ -110,6 +109,8 @@
 
 
 class FeedFleet:
+    lease = "1s"
+
     def __init__(
         self, folder: Path, group: TaskGroup, seed: int, keepers: int = 3, without: str = ""
     ) -> None:
@@ -132,33 +133,39 @@
         await fleet.start_voters()
         for name in self.keepers:
             await self._start_keeper(name)
-        for level, name in enumerate(self.relays, 1):
-            await self._start_relay(name, level)
+        for level, name in enumerate(self.relays, 1):  # r2 follows r1, and the keepers without it
+            await self._start_relay(name, level, [*self.relays[: level - 1], *self.keepers])
         for place in range(subscribers):
             await self.subscribe(f"s{place + 1}", folder=place == 0)
-        self.to_keepers = {name: await fleet.relay("w", name) for name in self.keepers}
+        self.to_keepers = {name: await self.way("w", name) for name in self.keepers}
         await fleet.form()
         await self.writer()
 
+    async def way(self, source: str, to: str) -> Address:
+        """The one that `source` takes: through a relay of the lab."""
+        return await self.fleet.relay(source, to)
+
     async def _start_keeper(self, name: str) -> None:
         fleet = self.fleet
         lines = [f"feed name {name}", f"feed listen 127.0.0.1:{fleet.ports[name]}", "feed role keeper",
-                 f"feed folder {self.folder}/{name}", f"feed lease {LEASE}"]  # fmt: skip
-        for voter, (host, port) in (await fleet.ways(name)).items():
+                 f"feed folder {self.folder}/{name}", f"feed lease {self.lease}"]  # fmt: skip
+        for voter in fleet.names:
+            host, port = await self.way(name, voter)
             lines.append(f"council voter {voter}={host}:{port}")
         for other in self.keepers:
             lines.append(f"feed keeper {other}=127.0.0.1:{fleet.ports[other]}")
             if other != name:
-                host, port = await fleet.relay(name, other)
+                host, port = await self.way(name, other)
                 lines.append(f"feed up {other}={host}:{port}")
         self._start(name, lines)
 
-    async def _start_relay(self, name: str, level: int) -> None:
-        """r1 follows the keepers; r2 follows r1, and the keepers without it."""
+    async def _start_relay(self, name: str, level: int, above: list[str], folder: bool = False) -> None:
         lines = [f"feed name {name}", f"feed listen 127.0.0.1:{self.fleet.ports[name]}", "feed role relay",
                  f"feed level {level}"]  # fmt: skip
-        for other in [*self.relays[: level - 1], *self.keepers]:
-            host, port = await self.fleet.relay(name, other)
+        if folder:
+            lines.append(f"feed folder {self.folder}/{name}")
+        for other in above:
+            host, port = await self.way(name, other)
             lines.append(f"feed up {other}={host}:{port}")
         self._start(name, lines)
 
@@ -172,7 +179,7 @@
 
     async def subscribe(self, name: str, folder: bool) -> None:
         keys = [key for place in range(PAIRS) for key in pair(place)] + list(TENANT_PAIR)
-        sources = {relay: await self.fleet.relay(name, relay) for relay in self.relays}
+        sources = {relay: await self.way(name, relay) for relay in self.relays}
         told = {"who": name, "sources": sources, "keys": keys, "seed": self.chance.randrange(1 << 30),
                 "folder": str(self.folder / name) if folder else ""}  # fmt: skip
         process = Process(name, ["subscriber", json.dumps(told)], {"LAB_WITHOUT": self.without}, self.folder)
--- a/thistleline/lab/scale/__init__.py
+++ b/thistleline/lab/scale/__init__.py
@@ -16,7 +16,7 @@
 from thistleline.lab.scale.slopes import Part, Row, number, per_one
 
 # Modules of this package, in the order in which they are measured.
-PARTS = ("members", "council", "connections", "added", "tenants", "settings_costs", "feed")
+PARTS = ("members", "council", "connections", "added", "tenants", "settings_costs", "feed", "feedsockets")
 
 
 def sentence(row: Row) -> str:
