--- a/tests/test_feed_sockets.py
+++ b/tests/test_feed_sockets.py
@@ -134,7 +134,9 @@
     assert found["full table"]["relay_start_resident_bytes"] > 1 << 20
 
 
-def test_what_no_follower_came_to_is_noticed() -> None:
+def test_what_no_follower_came_to_is_noticed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("tempfile.tempdir", str(tmp_path))  # its folder is kept
+
     async def story(region: Region) -> tuple[dict[str, Any], list[str]]:
         await region.start_with(b"")
         known, _, faults = await put_all(region, 30, 1)
--- a/thistleline/cli/main.py
+++ b/thistleline/cli/main.py
@@ -11,7 +11,7 @@
 
 from thistleline.conf.schema import Faulty, read_conf
 
-LABS = ("ledger", "leases", "members", "roll", "handover", "zones", "scale")
+LABS = ("ledger", "leases", "members", "roll", "handover", "zones", "scale", "feeds")
 
 
 @click.group()
--- a/thistleline/lab/feedfleet.py
+++ b/thistleline/lab/feedfleet.py
@@ -14,7 +14,7 @@
 from anyio.abc import TaskGroup
 
 from thistleline.feed.bounds import MADE_SLOTS
-from thistleline.feed.client import look, propose, snapshot
+from thistleline.feed.client import Following, look, propose, snapshot
 from thistleline.feed.messages import Item, Looked, Propose, Proposed
 from thistleline.feed.table import Table
 from thistleline.lab.harness import Fleet, Hung, Process, free_port
@@ -255,6 +255,18 @@
                 lives[-1].append(one)
         return lives[-1] if len(lives) == self.processes[name].starts else []
 
+    async def table(self, name: str, number: int, span: float = PATIENCE) -> Table:
+        """All that a keeper or relay holds, at that number or after it."""
+        async with anyio.create_task_group() as group:
+            following = Following("oracle", "all", {name: self.address(name)}, alone=True)
+            group.start_soon(following.run)
+            with anyio.move_on_after(span) as scope:
+                await following.beyond(number)
+            group.cancel_scope.cancel()
+        if scope.cancelled_caught:
+            raise Hung(f"{name} does not tell the state {number} in {span} s")
+        return following.table
+
     # ---- changes
 
     async def change(self, items: tuple[Item, ...], span: float = 15.0) -> Proposed:
@@ -298,10 +310,15 @@
         oracle, wide = self.oracle, set[str]()
 
         async def judge_one(name: str) -> None:
-            table = await snapshot({name: self.address(name)}, 10.0)
-            if table is None:
+            found = await self.looked(name)
+            number = found.number if found is not None else oracle.newest
+            told = await snapshot({name: self.address(name)}, 10.0)
+            if told is None:
                 oracle.wrong.append(f"{name} gives no snapshot")
                 return
+            if told.number < number:
+                oracle.wrong.append(f"{name} stands at {number}, a snapshot of it is of {told.number}")
+            table = await self.table(name, number)
             oracle.judge_table(name, table)
             wide.add(table.digest("wide").hex())
 
--- a/thistleline/lab/scale/feedsockets.py
+++ b/thistleline/lab/scale/feedsockets.py
@@ -28,7 +28,6 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from thistleline.feed.archive import Archive
-from thistleline.feed.client import snapshot
 from thistleline.feed.messages import Change, Group, Propose, encode
 from thistleline.feed.table import APART, entry_hash
 from thistleline.feed.writer import key_of
@@ -427,8 +426,7 @@
     number = await region.number()
     for name in [*region.keepers, *region.relays]:
         await region.reaches(name, number, PATIENCE)
-    table = await snapshot({region.relays[0]: region.address(region.relays[0])}, PATIENCE)
-    assert table is not None
+    table = await region.table(region.relays[0], number, PATIENCE)
     held = {key: (value, version) for key, value, version in table.entries("wide")}
     same = {key: value for key, (value, _) in held.items()} == {key: one for key, (one, _) in wanted.items()}
     faults = [] if same else ["what was put is not what is held"]
