Who asks for a change is not sent back to a keeper that is gone

Two keepers that named each other were asked in turn without a pause.

Whom a change is asked of next is decided apart now (`Asking`), and the lab's fleet goes by the very same: a name is heeded once between two pauses, and not that of who has given no answer last. Three stories; two of them fail without the guard, the third holds the way that is quick.

--- a/tests/test_feed_writer.py
+++ b/tests/test_feed_writer.py
@@ -2,16 +2,19 @@
 
 import errno
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from itertools import pairwise
 from pathlib import Path
+from random import Random
 from typing import Any
 
+import anyio
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from thistleline.feed import client
 from thistleline.feed import writer as writers
 from thistleline.feed.archive import Archive
 from thistleline.feed.bounds import (
@@ -1366,3 +1369,42 @@
     assert disk.calls > 40  # by parts
     table_found, _ = found(tmp_path)
     assert same(table_found, table)
+
+
+# ---- who asks for a change
+
+
+def asked_of(monkeypatch: pytest.MonkeyPatch, answers: Mapping[str, Proposed | None]) -> list[str]:
+    """Whom it asks, k0 first, till one answers with a number."""
+    asked: list[str] = []
+
+    async def ask(address: tuple[str, int], *told: Any) -> Proposed | None:
+        asked.append(address[0])
+        return answers[address[0]]
+
+    monkeypatch.setattr(client, "ask", ask)
+    monkeypatch.setattr(client, "PAUSE", 0.001)
+    keepers = {name: (name, 1) for name in answers}
+    chance = next(one for one in map(Random, range(99)) if one.choice(sorted(keepers)) == "k0")
+    monkeypatch.setattr(chance, "choice", min)
+    anyio.run(client.propose, keepers, Propose("x", ()), 1.0, chance)
+    return asked
+
+
+def elsewhere(leader: str) -> Proposed:
+    return Proposed("x", why="it does not write", unknown=True, leader=leader)
+
+
+def test_who_asks_for_a_change_is_not_sent_back_to_the_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    answers = {"k0": None, "k1": elsewhere("k0"), "k2": Proposed("x", 7)}
+    assert asked_of(monkeypatch, answers) == ["k0", "k1", "k2"]
+
+
+def test_two_that_name_each_other_don_t_keep_who_asks_for_a_change(monkeypatch: pytest.MonkeyPatch) -> None:
+    answers = {"k0": elsewhere("k1"), "k1": elsewhere("k0"), "k2": Proposed("x", 7)}
+    assert asked_of(monkeypatch, answers) == ["k0", "k1", "k2"]
+
+
+def test_who_asks_for_a_change_goes_at_once_to_who_is_said_to_write(monkeypatch: pytest.MonkeyPatch) -> None:
+    answers = {"k0": elsewhere("k2"), "k1": elsewhere("k2"), "k2": Proposed("x", 7)}
+    assert asked_of(monkeypatch, answers) == ["k0", "k2"]
--- a/thistleline/feed/client.py
+++ b/thistleline/feed/client.py
@@ -176,27 +176,43 @@
     return found
 
 
+class Asking:
+    """Which keeper a change is asked of: `at`. Guards against one that names a keeper that is gone, and two
+    that name each other: a name is heeded once between two pauses, and not of who gave no answer last."""
+
+    __slots__ = ("at", "names", "sent_on", "silent")
+
+    def __init__(self, names: list[str], at: str) -> None:
+        self.names, self.at = names, at
+        self.silent, self.sent_on = "", False
+
+    def on(self, answered: bool, leader: str = "") -> bool:
+        """To the one that is said to write, at once; else to the next, after a pause. Whether at once."""
+        if not answered:
+            self.silent = self.at
+        self.sent_on = leader in self.names and leader not in (self.at, self.silent) and not self.sent_on
+        self.at = leader if self.sent_on else self.names[(self.names.index(self.at) + 1) % len(self.names)]
+        return self.sent_on
+
+
 async def propose(
     keepers: dict[str, Address], told: Propose, span: float = 10.0, chance: Random | None = None
 ) -> Proposed:
     """Asks till it is made or refused, for so many seconds at most. The same request is one change."""
     chance = chance or Random(os.urandom(8))
-    names, until = sorted(keepers), anyio.current_time() + span
-    name, why = chance.choice(names), "no keeper answers"
+    names, until, why = sorted(keepers), anyio.current_time() + span, "no keeper answers"
+    asking = Asking(names, chance.choice(names))
     while True:
         left = until - anyio.current_time()
-        answer = await ask(keepers[name], told, Proposed, min(left, PROPOSE_SPAN)) if left > 0 else None
+        answer = await ask(keepers[asking.at], told, Proposed, min(left, PROPOSE_SPAN)) if left > 0 else None
         if answer is not None:
             if answer.number or not answer.unknown:
                 return answer  # type: ignore[no-any-return]
             why = answer.why
         if anyio.current_time() >= until:
             return Proposed(told.request, why=why, unknown=True)
-        if answer is not None and answer.leader in keepers and answer.leader != name:
-            name = answer.leader
-            continue
-        name = names[(names.index(name) + 1) % len(names)]
-        await anyio.sleep(min(PAUSE * chance.uniform(0.5, 1.5), max(0.0, until - anyio.current_time())))
+        if not asking.on(answer is not None, answer.leader if answer is not None else ""):
+            await anyio.sleep(min(PAUSE * chance.uniform(0.5, 1.5), max(0.0, until - anyio.current_time())))
 
 
 async def snapshot(servers: dict[str, Address], span: float) -> Table | None:
--- a/thistleline/lab/feedrun.py
+++ b/thistleline/lab/feedrun.py
@@ -19,7 +19,7 @@
 
 from thistleline.feed import follower as following
 from thistleline.feed.bounds import MADE_SLOTS, MS, SECOND
-from thistleline.feed.client import PAUSE, PROPOSE_SPAN
+from thistleline.feed.client import PAUSE, PROPOSE_SPAN, Asking
 from thistleline.feed.follower import Follower
 from thistleline.feed.lookups import Lookups
 from thistleline.feed.messages import Change, Delta, Group, Kind, Part, Propose, Proposed, encode
@@ -218,14 +218,14 @@
         self.durable: Table | None = None
 
 
-class Asked:
+class Asked(Asking):
     """A change that somebody wants, until its number is known."""
 
-    __slots__ = ("at", "first", "last", "propose", "region", "tries")
+    __slots__ = ("first", "last", "propose", "region", "tries")
 
-    def __init__(self, propose: Propose, region: int, now: int, at: str) -> None:
-        """`at`: whom it is asked of."""
-        self.propose, self.region, self.at = propose, region, at
+    def __init__(self, propose: Propose, region: int, now: int, names: list[str], at: str) -> None:
+        super().__init__(names, at)
+        self.propose, self.region = propose, region
         self.first = self.last = now  # when it was asked for
         self.tries = 1
 
@@ -656,7 +656,7 @@
         """By somebody in a region of its own, now, at the keeper that was heard to write last."""
         self.tickets += 1
         region = self.chance.randrange(self.regions)
-        self.proposals[self.tickets] = Asked(propose, region, self.now, self.wrote)
+        self.proposals[self.tickets] = Asked(propose, region, self.now, self.kept, self.wrote)
         self._ask(self.tickets)
 
     def _ask(self, ticket: int) -> None:
@@ -666,23 +666,21 @@
         asked.last = self.now
         keeper = self.places[asked.at]
         self.at(self.now + (self.apart[asked.region][keeper.region] or MS), self._proposed, keeper, ticket)
-        self.at(self.now + int(PROPOSE_SPAN * SECOND), self._another, ticket, asked.tries, "")
+        self.at(self.now + int(PROPOSE_SPAN * SECOND), self._another, ticket, asked.tries, False)
 
     def _proposed(self, keeper: Place, ticket: int) -> None:
         if ticket in self.proposals:
             self.put(keeper, "writer", "proposed", ticket, self.proposals[ticket].propose)
 
-    def _another(self, ticket: int, tries: int, leader: str) -> None:
+    def _another(self, ticket: int, tries: int, answered: bool, leader: str = "") -> None:
         """The same request, of who is said to write, else of the next after a pause."""
         asked = self.proposals.get(ticket)
         if asked is None or asked.tries != tries:
             return
         asked.tries += 1
-        if leader and leader != asked.at:
-            asked.at = leader
+        if asked.on(answered, leader):
             self._ask(ticket)
         else:
-            asked.at = self.kept[(self.kept.index(asked.at) + 1) % len(self.kept)]
             self.at(self.now + int(PAUSE * SECOND * self.chance.uniform(0.5, 1.5)), self._ask, ticket)
 
     def writer(self) -> Place:
@@ -698,7 +696,7 @@
             return
         if answer.unknown:
             way = self.apart[asked.region][place.region] or MS
-            self.at(self.now + way, self._another, ticket, asked.tries, answer.leader)
+            self.at(self.now + way, self._another, ticket, asked.tries, True, answer.leader)
             return
         del self.proposals[ticket]
         if not answer.number:
