Tests wait until an instance that is to stand still does

Seen in 8 runs of a loop of twelve at a time for 75 s. SIGSTOP takes effect some time after it is sent: the crowd came to an instance that still ran, which rightly let the idle connection go before anything lay unread on it.

The stop is waited for now (waitid, WSTOPPED), in all four places where the tests stop an instance; what they want of it is as it was. The same loop for 55 s with the wait: none failed. Ruled out with it: a reader that was not yet waiting as the stop came.

--- a/tests/host.py
+++ b/tests/host.py
@@ -472,6 +472,11 @@
         self.path.write_text(text)
         self.process.send_signal(signal.SIGHUP)
 
+    def stand_still(self) -> None:
+        """Until SIGCONT. A stop takes effect some time after its signal is sent, so that is waited for."""
+        os.kill(self.process.pid, signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WNOWAIT)
+
     def leave(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(PATIENCE)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -321,7 +321,7 @@
     hall.up()
     with hall.instance.connect() as link:
         ask(link, probe(1, False))
-        os.kill(hall.instance.process.pid, signal.SIGSTOP)
+        hall.instance.stand_still()
         crowd = [hall.instance.connect() for _ in range(30)]  # so the listening socket is ready first
         for each in crowd:
             each.sendall(probe(1, False))
@@ -382,7 +382,7 @@
         link.sendall(process(1, booking(1, "mark")))
         launch = hall.agent.hear()
         ask(other, probe(1, False))
-        os.kill(hall.instance.process.pid, signal.SIGSTOP)
+        hall.instance.stand_still()
         other.sendall(process(2, booking(2, "mark", dup="1")))
         hall.agent.end(launch[1], b"booked")
         os.kill(hall.instance.process.pid, signal.SIGCONT)
@@ -395,7 +395,7 @@
     with hall.instance.connect() as link:
         link.sendall(process(1, booking(1, "mark")))
         launch = hall.agent.hear()
-        os.kill(hall.instance.process.pid, signal.SIGSTOP)
+        hall.instance.stand_still()
         hall.instance.process.send_signal(signal.SIGTERM)
         link.sendall(process(2, booking(2, "mark", dup="1")))
         os.kill(hall.instance.process.pid, signal.SIGCONT)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -251,7 +251,7 @@
         link.sendall(process(1, words(1)))
         launch = hall.agent.hear()
         ask(link, probe(2, False))
-        os.kill(hall.instance.process.pid, signal.SIGSTOP)
+        hall.instance.stand_still()
         hall.agent.end(launch[1], b"read")
         while time.monotonic() < due:
             os.sched_yield()
