A part of the scale lab is found by its name in one place

Where parts began to run beside each other, the import by name stood three times. The full tests were not run again for it.

--- a/thistleline/lab/scale/__init__.py
+++ b/thistleline/lab/scale/__init__.py
@@ -41,11 +41,14 @@
     return {part: [row for row in found if row["kind"] != "time"] for part, found in rows.items()}
 
 
+def _part(module: str) -> Any:
+    return importlib.import_module(f"thistleline.lab.scale.{module}")
+
+
 def _told(module: str, quick: bool, seed: int) -> tuple[list[str], Part]:
     """What a part tells on its way, and what it found."""
     lines: list[str] = []
-    part = importlib.import_module(f"thistleline.lab.scale.{module}")
-    return lines, part.measure(quick, seed, lines.append)
+    return lines, _part(module).measure(quick, seed, lines.append)
 
 
 def _measured(
@@ -60,8 +63,7 @@
                 yield told
     else:
         for module in modules:
-            part = importlib.import_module(f"thistleline.lab.scale.{module}")
-            yield part.measure(quick, seed, tell)
+            yield _part(module).measure(quick, seed, tell)
 
 
 def run(
@@ -73,7 +75,7 @@
     bars: dict[str, bool] = {}
     modules = parts or PARTS
     for module, told in zip(modules, _measured(modules, quick, seed, tell), strict=True):
-        name = importlib.import_module(f"thistleline.lab.scale.{module}").NAME
+        name = _part(module).NAME
         rows[name] = told["rows"]
         figures[name] = {row["name"]: sentence(row) for row in told["rows"]} | told["figures"]
         bars |= {f"{name}: {bar}": held for bar, held in told["bars"].items()}
