--- a/review/common.py
+++ b/review/common.py
@@ -143,7 +143,7 @@
                 stderr=output,
             )
         self._started.append(process)
-        self._record.write(f"started pid {process.pid}: {command}")
+        self._record.write(f"started pid {process.pid}: {command.replace(f'{log.parent}/', '')}")
         return process
 
 
