A repeat names the attempt that it repeats when its round begins, not when it is read

Cause: ServerStateMachine._find_original chose the original of a task as the task was read, and preferred the latest attempt with that key that the policy had not seen. PolicyHost.withdraw took that attempt out when its connection ended, but not the name from the task that had taken it up. The policy knew no effect of that name, and IdempotencyTable.join made a new one, which ran.

The same order on the state machine alone runs the task twice while the first try runs, has finished, has failed, is queued, or is known from the ledger after a restart, and when a predecessor that forwarded the repeat ends.

Change: state/duplicates.py looks up the original when a round begins, from the tables as they are then. Between the look-up and the policy's call nothing can be withdrawn, so a task names only what the policy knows or gets in the same call. The table of pending keys, which had to follow every withdrawal, goes, with its special case in the handover.

--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -68,6 +68,7 @@
     *(CLIENT_ATTEMPT, CLIENT_ATTEMPT, FOREIGN_ATTEMPT, FOREIGN_ATTEMPT, RUN_END, RUN_END),
     st.tuples(st.just("time_passes"), st.sampled_from([10, 10, 300, 1500, 7000])),
     st.tuples(st.just("connection_ends"), INDEXES),
+    st.tuples(st.just("connection_ends_between_repeats"), INDEXES, BOOKINGS),
     st.tuples(st.just("round_runs")),
     st.tuples(st.just("link_ends"), st.booleans(), st.sampled_from([0, 5, 30, 600]), st.integers(0, 2)),
 )
@@ -260,6 +261,12 @@
         self.unanswered = {key: until for key, until in self.unanswered.items() if key[0] != connection}
         self.put(ConnectionEnded(connection, "reset"))
 
+    def connection_ends_between_repeats(self, connection: int, booking: int) -> None:
+        """Sends a booking on two connections, the first of which ends before the next round."""
+        self.client_attempt(connection, booking, 1, 0)
+        self.client_attempt((connection + 1) % 4, booking, 1, 0)
+        self.connection_ends(connection)
+
     def time_passes(self, span: int) -> None:
         """Advances the time; the agent reads its commands meanwhile, unless `span` is 0."""
         end = self.harness.now + span * MS
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -97,6 +97,8 @@
     Writes are performed at once, or only by `write` while `defers_writes` is set.
     """
 
+    machine_class: type[DurableStateMachine] = DurableStateMachine
+
     def __init__(
         self,
         folder: Path,
@@ -109,7 +111,7 @@
         **changes: Any,
     ) -> None:
         self.now, self.lifecycle = now, Lifecycle()
-        machine = DurableStateMachine(
+        machine = self.machine_class(
             machine_options(**changes), now, self.lifecycle, max_disk_bytes=disk, boot_offset=boot_time - now
         )
         self.machine = self.durable_machine = machine
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,124 @@
+"""Repeats of a keyed task while the attempts that they could name come and go.
+
+Guards against a second run of a task whose repeat named an attempt that the policy does not know.
+"""
+
+from pathlib import Path
+
+import pytest
+
+from tests.host import MachineHarness, task
+from tests.test_ledger import START, LedgerHarness
+from thistleline.handover.events import Inherited, PredecessorGone, TaskForwarded
+from thistleline.handover.state_machine import HandoverStateMachine
+from thistleline.interface import RunOutcome
+from thistleline.policy import SECOND
+from thistleline.state.events import ConnectionEnded
+
+KEY = "key"
+
+
+class HandoverHarness(LedgerHarness):
+    """A `LedgerHarness` of a server that can take over from another one and hand over to a third."""
+
+    machine_class = HandoverStateMachine
+
+
+def repeat_beside_a_reset(harness: MachineHarness, withdrawn: int = 1) -> list[str]:
+    """Delivers repeats on connections that are reset before the next round, and one that stays.
+
+    Returns the ids of the repeats.
+    """
+    connections = range(2, 2 + withdrawn)
+    repeats = [harness.send(connection, KEY, is_retry=True) for connection in connections]
+    repeats.append(harness.send(1, KEY, is_retry=True))
+    for connection in connections:
+        harness.handle(ConnectionEnded(connection, "reset"))
+    harness.wait()
+    return repeats
+
+
+@pytest.mark.parametrize("withdrawn", [1, 2, 3])
+@pytest.mark.parametrize("outcome", ["finished", "failed"])
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_a_repeat_read_after_a_withdrawn_one_gets_the_result_of_the_run(
+    withdrawn: int, outcome: RunOutcome, has_ended: bool
+) -> None:
+    """Guards against a second run when the attempt read before a repeat is withdrawn before the round."""
+    harness = MachineHarness(cores=4)
+    first = harness.send(1, KEY)
+    harness.wait()
+    if has_ended:
+        harness.end(first, outcome)
+    repeat_beside_a_reset(harness, withdrawn)
+    if not has_ended:
+        harness.end(first, outcome)
+    harness.wait()
+    assert harness.launched() == [first]
+    assert harness.answers() == 2 * [outcome if outcome == "finished" else "abandoned"]
+
+
+def test_a_repeat_read_after_a_withdrawn_one_waits_for_the_queued_attempt() -> None:
+    """Guards against two runs of a queued task when a repeat names an attempt that was withdrawn."""
+    harness = MachineHarness(cores=1)
+    running = harness.send(1, "another key")
+    harness.wait()
+    assert harness.launched() == [running]
+    queued = harness.send(1, KEY)
+    harness.wait()
+    repeats = repeat_beside_a_reset(harness)
+    harness.end(running)
+    harness.wait()
+    harness.end(queued)
+    harness.wait(SECOND)
+    assert not set(repeats) & set(harness.launched())
+    assert harness.launched() == [running, queued]
+    assert harness.answers() == 3 * ["finished"]
+
+
+def test_a_repeat_read_after_a_withdrawn_one_runs_if_nothing_else_did() -> None:
+    """Guards against a repeat that waits for an attempt that was withdrawn before it could run."""
+    harness = MachineHarness()
+    repeats = repeat_beside_a_reset(harness)
+    assert harness.launched() == [repeats[-1]]
+    harness.end(repeats[-1])
+    assert harness.answers() == ["finished"]
+
+
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_a_repeat_read_after_a_withdrawn_one_is_not_run_again_after_a_restart(
+    tmp_path: Path, has_ended: bool
+) -> None:
+    """Guards against a second run when the run that a repeat has to name is known from the ledger."""
+    harness = LedgerHarness(tmp_path)
+    first = harness.send(1, KEY)
+    harness.wait()
+    if has_ended:
+        harness.end(first)
+        harness.wait()
+    harness.stop()
+    restarted = LedgerHarness(tmp_path, boot_time=START + SECOND)
+    restarted.count = harness.count
+    repeat_beside_a_reset(restarted)
+    if not has_ended:
+        restarted.end(first)
+        restarted.wait()
+    assert restarted.launched() == []
+    assert restarted.answers() == ["finished"]
+
+
+def test_the_withdrawal_of_a_predecessors_repeat_starts_no_second_run(tmp_path: Path) -> None:
+    """Guards against a second run when a predecessor that forwarded a repeat ends before the round."""
+    harness = HandoverHarness(tmp_path)
+    harness.handle(Inherited(0, (), ()))
+    first = harness.send(1, KEY)
+    harness.wait()
+    forwarded = task("forwarded", harness.now, stage=1, is_retry=True)
+    harness.handle(TaskForwarded(1, forwarded, KEY, b"body"))
+    harness.send(1, KEY, is_retry=True)
+    harness.handle(PredecessorGone())
+    harness.wait()
+    harness.end(first)
+    harness.wait()
+    assert harness.launched() == [first]
+    assert harness.answers() == 2 * ["finished"]
--- a/thistleline/handover/state_machine.py
+++ b/thistleline/handover/state_machine.py
@@ -343,12 +343,8 @@
         name = super()._admit(event, connection)
         if self.handover_phase == "handed":
             self.policy_host.pending.pop()
-            attempt = self.attempts[name]
-            pending_keys = self.policy_host.pending_keys
-            if attempt.key is not None and pending_keys.get(attempt.key) == name:
-                del pending_keys[attempt.key]
             self.received[name] = event.task, event.dedup_key
-            self._forward(name, attempt)
+            self._forward(name, self.attempts[name])
         elif self._is_keyed(event.task.stage):
             self.received[name] = event.task, event.dedup_key
         return name
--- a/thistleline/state/policy_host.py
+++ b/thistleline/state/policy_host.py
@@ -19,7 +19,7 @@
 from thistleline.state.agent_session import AgentSession
 from thistleline.state.attempts import Attempt
 from thistleline.state.context import EventContext
-from thistleline.state.idempotency import IdempotencyKey
+from thistleline.state.duplicates import DuplicateFinder
 from thistleline.state.limits import MS, SECOND
 from thistleline.state.options import MachineOptions
 from thistleline.state.timers import TimerQueue
@@ -34,6 +34,7 @@
         context: EventContext,
         session: AgentSession,
         attempts: dict[str, Attempt],
+        duplicates: DuplicateFinder,
         sink: DecisionSink,
     ) -> None:
         """Create a host without a policy; `start` creates it.
@@ -43,20 +44,18 @@
             context: Receives the effects.
             session: Measures the gauges that are passed with a timer.
             attempts: All unanswered attempts, by name.
+            duplicates: Determines which attempts the tasks of a round repeat.
             sink: Receives the policy's decisions.
         """
         self.pending: list[PolicyEvent] = []
-        # Names of attempts that the policy has not seen yet, by idempotency key. By these, another attempt
-        # with the same key that arrives before the next round is recognized as a repeat.
-        self.pending_keys: dict[IdempotencyKey, str] = {}
         self.timers = TimerQueue()
         self.policy: Policy
         self._options = options
         self._context = context
         self._session = session
         self._attempts = attempts
+        self._duplicates = duplicates
         self._sink = sink
-        self._keyed = [stage.effect == "keyed" for stage in options.settings.stages]
         self._max_timeout = max(stage.timeout for stage in options.settings.stages)
         self._last_round = 0
         self._due_timers: list[str] = []  # timers that wait for the gauges
@@ -117,12 +116,6 @@
 
     # ---- events
 
-    def record_pending_key(self, name: str) -> None:
-        """Record the idempotency key of a pending attempt until the next round."""
-        key = self._attempts[name].key
-        if key is not None and self._keyed[key[0]]:
-            self.pending_keys[key] = name
-
     def withdraw(self, names: Collection[str]) -> None:
         """Remove pending attempts whose client has gone before the policy saw them.
 
@@ -133,28 +126,26 @@
             for event in self.pending
             if not isinstance(event, TaskArrived) or event.task.id not in names
         ]
-        # Another attempt with the same key may remain; recording the key again prevents a second run.
-        self.pending_keys = {key: name for key, name in self.pending_keys.items() if name not in names}
-        for event in self.pending:
-            if isinstance(event, TaskArrived):
-                self.record_pending_key(event.task.id)
 
     # ---- rounds
 
     def run_round(self) -> None:
         """Call the policy with all pending events."""
-        events = self.pending
-        self.pending = []
+        events = self._duplicates.mark_duplicates(self._take_pending())
         for event in events:
             if isinstance(event, TaskArrived):
                 self._attempts[event.task.id].policy_knows = True
-        self.pending_keys.clear()
         self._last_round = self._context.now
         try:
             self.policy.round(self._context.now, events, self._sink)
         except Exception:
             self._recover(events)
 
+    def _take_pending(self) -> list[PolicyEvent]:
+        events = self.pending
+        self.pending = []
+        return events
+
     def _recover(self, events: list[PolicyEvent]) -> None:
         """Handle an exception in the policy so that no task stays unanswered.
 
--- a/thistleline/state/state_machine.py
+++ b/thistleline/state/state_machine.py
@@ -34,6 +34,7 @@
 from thistleline.state.context import EventContext
 from thistleline.state.decisions import PolicyDecisions
 from thistleline.state.downstream import DownstreamCalls
+from thistleline.state.duplicates import DuplicateFinder
 from thistleline.state.effects import (
     AnnounceAccepting,
     AnswerFinished,
@@ -114,7 +115,10 @@
         self.health = HealthChecks(self.context, self.session, self.connections)
         self.downstream = DownstreamCalls(self.context, self.session)
         self.decisions = PolicyDecisions(self)
-        self.policy_host = PolicyHost(options, self.context, self.session, self.attempts, self.decisions)
+        duplicates = DuplicateFinder(settings, self.attempts, self.runs, self.idempotency)
+        self.policy_host = PolicyHost(
+            options, self.context, self.session, self.attempts, duplicates, self.decisions
+        )
         self.stop_at: int | None = None  # when the process is stopped, if known
         self.exit_margin = EXIT_MARGIN
         self._next_sweep = now
@@ -332,15 +336,13 @@
         attempt = Attempt(
             event.connection, event.seq, task.id, task.stage, arrived_at, deadline, key, bytes(event.body)
         )
-        original = None if key is None else self._find_original(key, arrived_at)
         name = self._new_name()
         self.by_id[task.id] = name
         self.attempts[name] = attempt
         if key is not None and stage.effect == "keyed" and task.id not in self.attempt_ids.by_id:
             self.claim_id(task.id, key, task.stage)
-        self.policy_host.record_pending_key(name)
         connection.open[name] = None
-        self.notify_policy(TaskArrived(replace(task, id=name, duplicate_of=original, arrived_at=arrived_at)))
+        self.notify_policy(TaskArrived(replace(task, id=name, arrived_at=arrived_at)))
         return name
 
     def _new_name(self) -> str:
@@ -353,29 +355,6 @@
         window = max(self.settings.stages[stage].idempotency_window, self.max_timeout)
         self.attempt_ids.claim(attempt_id, key, self.context.now + window + self.max_timeout)
 
-    def _find_original(self, key: IdempotencyKey, arrived_at: int) -> str | None:
-        """Return the name of the attempt that an attempt with this key repeats; None if it repeats none.
-
-        Whether the key's window has ended is judged by the time of arrival at the machine, however late the
-        task was read.
-        """
-        entry = self.idempotency.by_key.get(key)
-        if self.settings.stages[key[0]].effect == "keyed":
-            # Pending attempts are checked first. If a run has outlived its key's window, the policy has
-            # deleted its record of the run; two attempts that both repeat it would each start a new run.
-            if key in self.policy_host.pending_keys:
-                return self.policy_host.pending_keys[key]
-            if entry is not None and (entry.expires_at > arrived_at or entry.runner in self.runs):
-                return entry.attempt
-            return None
-        if entry is None or entry.expires_at <= arrived_at or entry.outcome not in (None, "finished"):
-            return None
-        if entry.outcome and (
-            entry.result is None or entry.ended_at + self.settings.cached_result_ttl <= arrived_at
-        ):
-            return None
-        return entry.attempt
-
     def notify_policy(self, event: PolicyEvent) -> None:
         """Queue an event for the policy's next round."""
         self.policy_host.pending.append(event)
