A task that was answered before its round no longer ends the round of all others

Not seen by callers yet: it needs an exception in the policy first. Callers would have seen all tasks read in the same 5 ms wait without a decision until just before their deadlines, and be abandoned.

Cause: for five seconds and more after an exception in the policy, PolicyHost.abandon_overdue answers tasks near their deadline itself. One that the policy had not seen stayed in the pending events; PolicyHost.run_round took all of them out, then looked the answered one up and ended with KeyError. The events were gone, ends of runs and timers among them.

Change: a round leaves out the tasks that are no longer unanswered, whoever took them out. This covers those whose connection ended too, so PolicyHost.withdraw goes.

Measured: test_a_task_abandoned_before_its_round_does_not_stop_the_round fails before the change (KeyError: '187') and passes now; tests/test_repeats.py and the property test of tests/test_effects.py pass.

--- a/tests/test_state_machine.py
+++ b/tests/test_state_machine.py
@@ -8,6 +8,7 @@
 from tests.host import BOOKING, LOOKUP, MachineHarness, task
 from thistleline.interface import RunOutcome, TaskArrived
 from thistleline.policy import MS, SECOND
+from thistleline.policy.admission import Admission
 from thistleline.state import limits
 from thistleline.state.effects import (
     AnnounceAccepting,
@@ -43,6 +44,11 @@
 )
 from thistleline.state.limits import MAX_OPEN_TASKS
 
+
+def _fail(*_: Any) -> None:
+    raise RuntimeError("fault injected by the test")
+
+
 # ---- each task gets exactly one answer
 
 
@@ -299,6 +305,24 @@
     assert harness.launched() == [other]
 
 
+def test_a_task_abandoned_before_its_round_does_not_stop_the_round(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a round that is lost with all its tasks because one of them was answered before it."""
+    harness = MachineHarness()
+    with monkeypatch.context() as context:
+        context.setattr(Admission, "process", _fail)
+        harness.send(1)
+        harness.wait()  # from now on the state machine abandons tasks shortly before their deadlines
+    harness.wait(MS)  # so that rounds do not coincide with sweeps
+    count = limits.SWEEP_INTERVAL // MS
+    for _ in range(count):  # one of them is read between a round and the sweep of overdue tasks
+        harness.send(2, arrived_at=harness.now - LOOKUP.timeout + 100 * MS)
+        harness.wait(MS)
+    last = harness.send(3)
+    harness.wait()
+    assert harness.launched() == [last]
+    assert len(harness.answers()) == 1 + count
+
+
 def test_attempts_read_together_run_once_when_one_connection_ends() -> None:
     harness = MachineHarness(cores=8)
     first, _ = harness.send(1, "key"), harness.send(2, "key", is_retry=True)
--- a/thistleline/state/policy_host.py
+++ b/thistleline/state/policy_host.py
@@ -4,7 +4,6 @@
 """
 
 import traceback
-from collections.abc import Collection
 
 from thistleline.interface import (
     ClientGone,
@@ -114,19 +113,6 @@
         self.pending += [TimerFired(name, gauges) for name in self._due_timers]
         self._due_timers = []
 
-    # ---- events
-
-    def withdraw(self, names: Collection[str]) -> None:
-        """Remove pending attempts whose client has gone before the policy saw them.
-
-        In a round the policy handles departures of clients before new tasks, so it would start such a task.
-        """
-        self.pending = [
-            event
-            for event in self.pending
-            if not isinstance(event, TaskArrived) or event.task.id not in names
-        ]
-
     # ---- rounds
 
     def run_round(self) -> None:
@@ -142,7 +128,15 @@
             self._recover(events)
 
     def _take_pending(self) -> list[PolicyEvent]:
-        events = self.pending
+        """Return the pending events and clear them.
+
+        Tasks that were withdrawn or answered since they were read are left out: the policy would start them.
+        """
+        events = [
+            event
+            for event in self.pending
+            if not isinstance(event, TaskArrived) or event.task.id in self._attempts
+        ]
         self.pending = []
         return events
 
--- a/thistleline/state/state_machine.py
+++ b/thistleline/state/state_machine.py
@@ -291,18 +291,14 @@
     def _release(self, names: Iterable[str]) -> None:
         """Remove the attempts of a connection that ended.
 
-        Runs of tasks that are not idempotent continue, so that their results can answer repeats.
+        Runs of tasks that are not idempotent continue, so that their results can answer repeats. Attempts
+        that the policy has not seen are left out of its next round.
         """
-        unseen = set()
         for name in names:
             attempt = self.attempts.pop(name)
             del self.by_id[attempt.id]
             if attempt.policy_knows:
                 self.notify_policy(ClientGone(name))
-            else:
-                unseen.add(name)
-        if unseen:
-            self.policy_host.withdraw(unseen)
 
     # ---- tasks
 
