A repeat of a task that was abandoned after an exception in the policy starts no second run

Not seen by callers: it needs an exception in the policy on the first of two repeats that are read together. Callers would have seen the task run twice within its window.

Cause: after an exception PolicyHost passes the events again one by one and abandons a task on which the policy fails again. The task after it still named the abandoned one; the policy knew no effect of that name and made a new one.

Change: a task that names an abandoned one gets the abandoned task's own original instead.

Measured: test_a_repeat_read_after_one_that_the_policy_fails_on_gets_the_result_of_the_run, with one and two failing repeats, fails before (launched ["t1", "t3"] and ["t1", "t4"] for ["t1"]) and passes now.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -11,8 +11,10 @@
 from tests.test_ledger import START, LedgerHarness
 from thistleline.handover.events import Inherited, PredecessorGone, TaskForwarded
 from thistleline.handover.state_machine import HandoverStateMachine
-from thistleline.interface import RunOutcome
+from thistleline.interface import RunOutcome, Stage, Task
 from thistleline.policy import SECOND
+from thistleline.policy.admission import Admission
+from thistleline.policy.tasks import TaskRecord
 from thistleline.state.events import ConnectionEnded
 
 KEY = "key"
@@ -122,3 +124,29 @@
     harness.wait()
     assert harness.launched() == [first]
     assert harness.answers() == 2 * ["finished"]
+
+
+@pytest.mark.parametrize("failing", [1, 2])
+def test_a_repeat_read_after_one_that_the_policy_fails_on_gets_the_result_of_the_run(
+    failing: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second run when a repeat names an attempt that was abandoned after an exception."""
+    harness = MachineHarness(cores=4)
+    first = harness.send(1, KEY)
+    harness.wait()
+    register = Admission._register
+    failing_names = {str(harness.machine.attempts_made + number) for number in range(1, failing + 1)}
+
+    def register_or_fail(admission: Admission, task: Task, stage: Stage) -> TaskRecord:
+        if task.id in failing_names:
+            raise RuntimeError("fault injected by the test")
+        return register(admission, task, stage)
+
+    monkeypatch.setattr(Admission, "_register", register_or_fail)
+    for _ in range(failing + 1):
+        harness.send(1, KEY, is_retry=True)
+    harness.wait()
+    harness.end(first)
+    harness.wait()
+    assert harness.launched() == [first]
+    assert harness.answers() == [*failing * ["abandoned"], "finished", "finished"]
--- a/thistleline/state/policy_host.py
+++ b/thistleline/state/policy_host.py
@@ -4,6 +4,7 @@
 """
 
 import traceback
+from dataclasses import replace
 
 from thistleline.interface import (
     ClientGone,
@@ -146,6 +147,7 @@
         The events that the policy did not process are passed again one by one; a task on which it fails again
         is abandoned. The timers that had fired are set again.
         """
+        abandoned: dict[str, str | None] = {}  # names of the abandoned tasks; what each of them repeats
         self._faulty_until = self._context.now + self._max_timeout + SECOND
         self._report_fault("round")
         pending_timers = self.timers.names()
@@ -155,7 +157,7 @@
                     retry_at = self._context.now + max(self._options.granularity, MS)
                     self.timers.add(retry_at, event.name)
             elif not self._was_processed(event):
-                self._retry(event)
+                self._retry(event, abandoned)
 
     def _was_processed(self, event: PolicyEvent) -> bool:
         """Return whether the policy processed an event before it failed, or no longer needs it."""
@@ -169,13 +171,21 @@
             case _:
                 return event.task_id not in self.policy.tasks
 
-    def _retry(self, event: PolicyEvent) -> None:
+    def _retry(self, event: PolicyEvent, abandoned: dict[str, str | None]) -> None:
+        """Pass one event again; if the policy fails on a task, abandon it and add it to `abandoned`.
+
+        The policy does not know an abandoned task. A later one that repeats it names the abandoned task's own
+        original instead; otherwise it would be a new task to the policy, and run a second time.
+        """
+        if isinstance(event, TaskArrived) and event.task.duplicate_of in abandoned:
+            event = TaskArrived(replace(event.task, duplicate_of=abandoned[event.task.duplicate_of]))
         try:
             self.policy.round(self._context.now, [event], self._sink)
         except Exception:
             self._report_fault(type(event).__name__)
             if isinstance(event, TaskArrived) and event.task.id not in self.policy.tasks:
                 self._sink.abandon(event.task.id)
+                abandoned[event.task.id] = event.task.duplicate_of
 
     def _report_fault(self, where: str) -> None:
         self._context.count("faults")
