The policy adds a keyed task to its table only together with the task's effect

Not seen by callers: it needs one exception in the policy while it takes in a task. Callers would have seen a task run three times within its window.

Cause: Admission._register added the task's record to the table before the statistics and before IdempotencyTable.join. After an exception in between, PolicyHost took the task as processed, because the table had it; but its record had no effect, so the queue started it like a task without a key, beside the run that it repeats, and so the next repeat, which named it.

Change: the record is added after `join`. After an exception the host passes the task once more. Nothing between the two reads the table, so decisions without an exception stay the same.

Measured: test_a_repeat_on_which_the_policy_fails_once_gets_the_result_of_the_run fails before with an exception in the statistics and in `join` (launched ["t1", "t2", "t3"] for ["t1"]) and passes now.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -3,7 +3,9 @@
 Guards against a second run of a task whose repeat named an attempt that the policy does not know.
 """
 
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -14,6 +16,8 @@
 from thistleline.interface import RunOutcome, Stage, Task
 from thistleline.policy import SECOND
 from thistleline.policy.admission import Admission
+from thistleline.policy.detectors import OverloadDetector
+from thistleline.policy.idempotency import IdempotencyTable
 from thistleline.policy.tasks import TaskRecord
 from thistleline.state.events import ConnectionEnded
 
@@ -26,6 +30,18 @@
     machine_class = HandoverStateMachine
 
 
+def fail_once(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Wraps a function so that its first call raises an error."""
+    errors = [RuntimeError("fault injected by the test")]
+
+    def wrapper(*arguments: Any) -> Any:
+        if errors:
+            raise errors.pop()
+        return function(*arguments)
+
+    return wrapper
+
+
 def repeat_beside_a_reset(harness: MachineHarness, withdrawn: int = 1) -> list[str]:
     """Delivers repeats on connections that are reset before the next round, and one that stays.
 
@@ -134,15 +150,15 @@
     harness = MachineHarness(cores=4)
     first = harness.send(1, KEY)
     harness.wait()
-    register = Admission._register
+    record_arrival = Admission._record_arrival
     failing_names = {str(harness.machine.attempts_made + number) for number in range(1, failing + 1)}
 
-    def register_or_fail(admission: Admission, task: Task, stage: Stage) -> TaskRecord:
+    def record_or_fail(admission: Admission, task: Task, stage: Stage) -> TaskRecord:
         if task.id in failing_names:
             raise RuntimeError("fault injected by the test")
-        return register(admission, task, stage)
+        return record_arrival(admission, task, stage)
 
-    monkeypatch.setattr(Admission, "_register", register_or_fail)
+    monkeypatch.setattr(Admission, "_record_arrival", record_or_fail)
     for _ in range(failing + 1):
         harness.send(1, KEY, is_retry=True)
     harness.wait()
@@ -150,3 +166,24 @@
     harness.wait()
     assert harness.launched() == [first]
     assert harness.answers() == [*failing * ["abandoned"], "finished", "finished"]
+
+
+@pytest.mark.parametrize(
+    ("failing_class", "method"), [(OverloadDetector, "observe_read"), (IdempotencyTable, "join")]
+)
+def test_a_repeat_on_which_the_policy_fails_once_gets_the_result_of_the_run(
+    failing_class: type, method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second run of a task that an exception left in the policy without its effect."""
+    harness = MachineHarness(cores=4)
+    first = harness.send(1, KEY)
+    harness.wait()
+    with monkeypatch.context() as context:
+        context.setattr(failing_class, method, fail_once(getattr(failing_class, method)))
+        harness.send(1, KEY, is_retry=True)
+        harness.send(2, KEY, is_retry=True)
+        harness.wait()
+    harness.end(first)
+    harness.wait()
+    assert harness.launched() == [first]
+    assert harness.answers() == 3 * ["finished"]
--- a/thistleline/policy/admission.py
+++ b/thistleline/policy/admission.py
@@ -32,8 +32,12 @@
         state = self._state
         tasks = state.tasks
         stage = state.settings.stages[task.stage]
-        record = self._register(task, stage)
-        if stage.effect == "keyed" and state.idempotency.join(record, out):
+        record = self._record_arrival(task, stage)
+        waits = stage.effect == "keyed" and state.idempotency.join(record, out)
+        # A keyed task is added only with its effect, even if an exception ends this round: without one, it
+        # would run beside other attempts.
+        tasks.add(record)
+        if waits:
             tasks.queue_length += 1
             return
         if stage.effect == "idempotent" and task.duplicate_of is not None:
@@ -51,8 +55,8 @@
             if record.effect is not None:
                 state.idempotency.remember(state.now, record, out)
 
-    def _register(self, task: Task, stage: Stage) -> TaskRecord:
-        """Add a task to the task table and record its arrival in all statistics."""
+    def _record_arrival(self, task: Task, stage: Stage) -> TaskRecord:
+        """Return the record of a task that was read, and count its arrival in all statistics."""
         state = self._state
         now = state.now
         deadline = task.deadline if task.deadline is not None else task.arrived_at + stage.timeout
@@ -61,7 +65,6 @@
         level = state.profiles[task.stage].level
         shed_position = (2 * level + state.quotas.is_within(task.tenant, bucket)) * BUCKETS + bucket
         record = TaskRecord(task, min(due, deadline), deadline, shed_position)
-        state.tasks.add(record)
         state.shedder.observe_arrival(now, shed_position, is_retry)
         state.connections.observe(task.client)
         if not is_retry:
