An effect counts as run before its start is carried out, not after

Not seen by callers: it needs an exception while a start is carried out. Callers would have seen their repeats wait until shortly before the deadline, and, once the host's precautions after an exception are over, be refused although the task had run.

Cause: Admission._start called the sink first and IdempotencyTable.start after it. When the sink raised after the start had gone to the agent, the effect stayed "not run" with the started task as its holder, and repeats queued behind a holder that would never be started.

Change: has_run is set before the call; IdempotencyTable.answer_followers does the rest after it. A start that did not take place is still taken back by RunEnded with "moot".

Measured: test_a_repeat_of_a_run_whose_start_raised_an_exception_gets_its_result fails before (one answer of two) and passes now; tests/test_policy.py and tests/test_effects.py pass.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -19,6 +19,7 @@
 from thistleline.policy.detectors import OverloadDetector
 from thistleline.policy.idempotency import IdempotencyTable
 from thistleline.policy.tasks import TaskRecord
+from thistleline.state.attempts import Run
 from thistleline.state.events import ConnectionEnded
 
 KEY = "key"
@@ -187,3 +188,26 @@
     harness.wait()
     assert harness.launched() == [first]
     assert harness.answers() == 3 * ["finished"]
+
+
+def test_a_repeat_of_a_run_whose_start_raised_an_exception_gets_its_result(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a repeat that waits, until it is refused, for a task that has been started."""
+    harness = MachineHarness(cores=4)
+    launch = harness.machine.launch
+
+    def launch_and_fail(name: str, run: Run) -> None:
+        launch(name, run)
+        raise RuntimeError("fault injected by the test")
+
+    with monkeypatch.context() as context:
+        context.setattr(harness.machine, "launch", launch_and_fail)
+        first = harness.send(1, KEY)
+        harness.wait()
+    harness.send(2, KEY, is_retry=True)
+    harness.wait()
+    harness.end(first)
+    harness.wait()
+    assert harness.launched() == [first]
+    assert harness.answers() == 2 * ["finished"]
--- a/thistleline/policy/admission.py
+++ b/thistleline/policy/admission.py
@@ -136,9 +136,11 @@
         if settings.cancellation != "none" and stage.effect == "idempotent" and not stage.late_utility_share:
             record.answer_by = min(record.answer_by, record.due)
         state.tasks.start(record)
+        if record.effect is not None:
+            record.effect.has_run = True  # before the start, which may take place and then raise an exception
         out.start(record.task.id)
         if record.effect is not None:
-            state.idempotency.start(record.effect, out)
+            state.idempotency.answer_followers(record.effect, out)
         elif settings.cached_result_ttl and record.task.user is not None and not state.is_memory_short(0):
             expires_at = record.deadline + settings.cached_result_ttl
             state.idempotency.remember_until(state.now, record.task.id, expires_at, out)
--- a/thistleline/policy/idempotency.py
+++ b/thistleline/policy/idempotency.py
@@ -72,9 +72,8 @@
         self.remembered[task_id] = expires_at
         out.remember_key(task_id, expires_at - now)
 
-    def start(self, effect: Effect, out: DecisionSink) -> None:
-        """Record that the effect's holder was started; its result answers the attempts that wait for it."""
-        effect.has_run = True
+    def answer_followers(self, effect: Effect, out: DecisionSink) -> None:
+        """Answer the attempts that wait for the effect's holder, which was started, with its result."""
         for follower in effect.followers:
             replay(follower, out)
         effect.followers.clear()
