After a restart or a handover, a task runs if its recorded run proves never to have taken place

Cause: a run recorded by an earlier process is restored in the policy as an effect that has run, under a name that has no task. When the agent says that nothing was begun, or the predecessor that the run was forwarded unstarted, RunEnded comes with "moot"; Completion.run_ended found no task of that name and returned, so the effect stayed. The machine also told a policy made anew at the first greeting of such a run once more.

Change: IdempotencyTable.revoke takes a restored effect back; DurableStateMachine.end_run drops it from what a new policy is told.

Measured: test_a_repeat_runs_after_a_restart_if_the_earlier_run_never_took_place fails before in all three orders (nothing launched for ["second"]) and passes now, with tests/test_ledger.py and tests/test_policy.py.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -11,7 +11,12 @@
 
 from tests.host import MachineHarness, task
 from tests.test_ledger import START, LedgerHarness
-from thistleline.handover.events import Inherited, PredecessorGone, TaskForwarded
+from thistleline.handover.events import (
+    Inherited,
+    PredecessorGone,
+    PredecessorRunEnded,
+    TaskForwarded,
+)
 from thistleline.handover.state_machine import HandoverStateMachine
 from thistleline.interface import RunOutcome, Stage, Task
 from thistleline.policy import SECOND
@@ -20,7 +25,7 @@
 from thistleline.policy.idempotency import IdempotencyTable
 from thistleline.policy.tasks import TaskRecord
 from thistleline.state.attempts import Run
-from thistleline.state.events import ConnectionEnded
+from thistleline.state.events import AgentGreeted, ConnectionEnded
 
 KEY = "key"
 
@@ -211,3 +216,31 @@
     harness.wait()
     assert harness.launched() == [first]
     assert harness.answers() == 2 * ["finished"]
+
+
+@pytest.mark.parametrize("restart", ["before the greeting", "after the greeting", "by handover"])
+def test_a_repeat_runs_after_a_restart_if_the_earlier_run_never_took_place(
+    tmp_path: Path, restart: str
+) -> None:
+    """Guards against repeats that fail for a whole window because of a run that never took place."""
+    harness = LedgerHarness(tmp_path)
+    first = harness.send(1, KEY)
+    harness.wait()
+    harness.stop()
+    restarted = HandoverHarness(tmp_path, boot_time=START + SECOND, up=False)
+    if restart == "before the greeting":
+        restarted.end(first, "moot")
+    restarted.handle(AgentGreeted(False, 60 * SECOND))
+    if restart == "after the greeting":
+        restarted.end(first, "moot")
+    if restart == "by handover":
+        restarted.handle(Inherited(0, (), ()))
+        restarted.handle(PredecessorRunEnded(1, "moot", b""))
+    restarted.send(1, KEY, id="second", is_retry=True)
+    restarted.send(2, KEY, id="third", is_retry=True)
+    restarted.wait()
+    restarted.end("second")
+    restarted.send(1, KEY, id="fourth", is_retry=True)
+    restarted.wait()
+    assert restarted.launched() == ["second"]
+    assert restarted.answers() == 3 * ["finished"]
--- a/thistleline/durable/state_machine.py
+++ b/thistleline/durable/state_machine.py
@@ -228,6 +228,7 @@
             self.ledger.record_outcome(self._boot_time(), number, outcome, stored)
             if outcome == "moot":
                 self._unnumber_effect(name)
+                self.remembered.pop(name, None)
         super().end_run(name, outcome, duration, result)
 
     # ---- numbers of effects
--- a/thistleline/policy/completion.py
+++ b/thistleline/policy/completion.py
@@ -66,10 +66,15 @@
         record.state = "answered"
 
     def run_ended(self, task_id: str, outcome: RunOutcome, duration: int, out: DecisionSink) -> None:
-        """Remove a task whose run ended, or that was answered with the result of another task's run."""
+        """Remove a task whose run ended, or that was answered with the result of another task's run.
+
+        A run of an earlier process has no task here, but may have an effect that was restored.
+        """
         state = self._state
         record = state.tasks.by_id.pop(task_id, None)
         if record is None:
+            if outcome == "moot":
+                state.idempotency.revoke(task_id, out)
             return
         state.downstream.withdraw(record)
         state.downstream.end_call(state.now, task_id, is_given_up=True)
--- a/thistleline/policy/idempotency.py
+++ b/thistleline/policy/idempotency.py
@@ -97,6 +97,19 @@
                 effect.holder = effect.followers.pop(0)
                 self.remember(now, effect.holder, out)
 
+    def revoke(self, task_id: str, out: DecisionSink) -> None:
+        """Record that a restored effect never ran: its idempotency key is deleted and the next attempt runs.
+
+        Prevents repeats from being answered as failed, for the rest of the key's window, for a run that is
+        known not to have taken place.
+        """
+        effect = self._effects.get(task_id)
+        if effect is None or effect.holder is not None:
+            return  # it has expired, or was not restored
+        effect.has_run = False
+        if self.remembered.pop(task_id, None) is not None:
+            out.forget_key(task_id)
+
     def expire(self, now: int) -> None:
         """Delete expired idempotency keys and effects."""
         self.remembered = {task_id: until for task_id, until in self.remembered.items() if until > now}
