At the handover queued keyed tasks are forwarded, so that the predecessor refuses none of them

Callers saw: a booking that waits in a server that hands over is refused while the next server runs another try of it, or, if it is a repeat that waits for a queued task, fails while that task is forwarded.

Cause: HandoverStateMachine._hand_over forwarded keyed tasks whose start was held back, but those still queued stayed with the predecessor's policy, which no longer knew what ran. It refused them as too late, or started them: then the launch was forwarded, and Admission._start answered the repeats from a run that was no longer there. docs/design/handover.md says that keyed tasks not started are forwarded.

Change: _forward_queued takes keyed tasks that the policy has not decided on away from it at the handover and forwards them all; one server decides.

Measured: tests/test_repeats.py, test_queued_tasks_and_their_repeats_are_forwarded_at_the_handover fails before (nothing forwarded of three). The simulated handovers take the number of cores: test_simulated_handovers_with_queues_reject_no_task_after_it_ran fails before with and without deaths ("booking 108 is rejected after it ran").

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -47,6 +47,14 @@
     assert sum(world.figures["handed over"] for world in worlds) > 20
 
 
+@pytest.mark.parametrize("deaths", [True, False])
+def test_simulated_handovers_with_queues_reject_no_task_after_it_ran(deaths: bool) -> None:
+    """Guards against a predecessor that refuses a queued task of which the successor runs another attempt."""
+    worlds = [simulate_handovers(seed, deaths=deaths, cores=2) for seed in range(8, 14)]
+    assert [world.wrong for world in worlds] == 6 * [""]
+    assert sum(world.figures["handed over"] for world in worlds) > 10
+
+
 def _launch_anyway(
     self: HandoverStateMachine, task: str, run: Run, original: Any = HandoverStateMachine.launch
 ) -> None:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -9,12 +9,14 @@
 
 import pytest
 
-from tests.host import MachineHarness, task
+from tests.host import MachineHarness, task, tenants
 from tests.test_ledger import START, LedgerHarness
+from thistleline.handover.effects import ForwardTask
 from thistleline.handover.events import (
     Inherited,
     PredecessorGone,
     PredecessorRunEnded,
+    SuccessorReady,
     TaskForwarded,
 )
 from thistleline.handover.state_machine import HandoverStateMachine
@@ -244,3 +246,20 @@
     restarted.wait()
     assert restarted.launched() == ["second"]
     assert restarted.answers() == 3 * ["finished"]
+
+
+def test_queued_tasks_and_their_repeats_are_forwarded_at_the_handover(tmp_path: Path) -> None:
+    """Guards against a predecessor that refuses or abandons a queued task that its successor may run."""
+    harness = HandoverHarness(tmp_path, cores=1, tenants=tenants(100.0))
+    running = harness.send(1, "another key")
+    harness.wait()
+    queued = [harness.send(2, KEY), harness.send(3, KEY, is_retry=True)]
+    harness.wait()
+    queued.append(harness.send(4, "third key"))
+    harness.handle(SuccessorReady(harness.now + 5 * SECOND))
+    harness.wait()
+    assert [effect.task.id for effect in harness.effects_of(ForwardTask)] == queued
+    harness.end(running)
+    harness.wait(3 * SECOND)
+    assert harness.launched() == [running]
+    assert harness.answers() == ["finished"]
--- a/thistleline/handover/state_machine.py
+++ b/thistleline/handover/state_machine.py
@@ -45,7 +45,7 @@
     SuccessorReplaced,
     TaskForwarded,
 )
-from thistleline.interface import RunEnded, RunOutcome, Task
+from thistleline.interface import ClientGone, RunEnded, RunOutcome, Task
 from thistleline.ledger.state import LedgerState
 from thistleline.state.attempts import Attempt, Run
 from thistleline.state.connections import Connection
@@ -244,6 +244,25 @@
         for name in (*delayed, *unsent):
             if name in self.runs and self._is_keyed(self.runs[name].stage):
                 self._forward_unstarted(name)
+        self._forward_queued()
+
+    def _forward_queued(self) -> None:
+        """Forward the keyed tasks that the policy has not decided on.
+
+        The policy must not reject them later: the successor may run another attempt of the same task.
+        """
+        tasks = self.policy.tasks
+        queued = {
+            name
+            for name in self.received
+            if name in self.attempts and name not in self.forwarded and name not in self.runs
+            if name not in tasks or tasks[name].state == "queued"
+        }
+        self.policy_host.drop_tasks(queued)
+        for name in self.received:
+            if name in queued:
+                self.notify_policy(ClientGone(name))
+                self._forward(name, self.attempts[name])
 
     def _release_ledger(self) -> None:
         """Replace the ledger with an empty one, as from now on only the successor writes to the ledger."""
--- a/thistleline/lab/simulation/handover_world.py
+++ b/thistleline/lab/simulation/handover_world.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from heapq import heappop, heappush
 from random import Random
 from typing import Any
@@ -69,16 +70,18 @@
 BENCH = read_server_settings(SETTINGS)
 WINDOW, LIMIT = BENCH.stages[0].idempotency_window, BENCH.stages[0].timeout
 STOP = 2 * SECOND
-OPTIONS = MachineOptions(BENCH, ("core_use", "on_cores", "heap_share", "links"), MS, 400, 1 << 20, 1)
+CORES = 64  # of each server, so that no queue forms
+GAUGES = ("core_use", "on_cores", "heap_share", "links")
 
 
 class Server:
     """A server process, from its start to its end."""
 
-    def __init__(self, number: int, now: int, chance: Random) -> None:
+    def __init__(self, number: int, now: int, cores: int) -> None:
         """Start a server with an empty state."""
         self.number = number
-        self.machine = HandoverStateMachine(OPTIONS, now, Lifecycle(), max_disk_bytes=8 << 20, boot_offset=0)
+        options = MachineOptions(replace(BENCH, cores=cores), GAUGES, MS, 400, 1 << 20, 1)
+        self.machine = HandoverStateMachine(options, now, Lifecycle(), max_disk_bytes=8 << 20, boot_offset=0)
         self.alive = True
         self.serves = False  # whether it listens
         self.commands_agent = True  # whether it commands the agent itself, not through its successor
@@ -91,7 +94,9 @@
 class HandoverWorld:
     """The servers, their disk, the agent and the callers."""
 
-    def __init__(self, seed: int, rate: float = 40.0, deaths: bool = True, stale: bool = False) -> None:
+    def __init__(
+        self, seed: int, rate: float = 40.0, deaths: bool = True, stale: bool = False, cores: int = CORES
+    ) -> None:
         """Build a world without servers.
 
         Args:
@@ -99,8 +104,10 @@
             rate: New bookings per second.
             deaths: Whether servers crash and writes fail.
             stale: Whether a successor reads the ledger before the handover instead of after it, as a mutant.
+            cores: Of each server; tasks queue where these are few.
         """
         self.stale = stale
+        self.cores = cores
         self.chance, self.rate, self.deaths = Random(seed), rate, deaths
         self.now = 1000 * SECOND
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -300,7 +307,7 @@
 
     def start_server(self) -> None:
         """Start one more server, beside those that are alive."""
-        server = Server(len(self.servers) + 1, self.now, self.chance)
+        server = Server(len(self.servers) + 1, self.now, self.cores)
         before = [one for one in self.servers if one.alive]
         self.servers.append(server)
         sole = next(
@@ -542,7 +549,9 @@
             self.wrong = f"{len(self.open_attempts)} attempts have no answer"
 
 
-def simulate_handovers(seed: int, count: int = 8, deaths: bool = True, stale: bool = False) -> HandoverWorld:
+def simulate_handovers(
+    seed: int, count: int = 8, deaths: bool = True, stale: bool = False, cores: int = CORES
+) -> HandoverWorld:
     """Simulate `count` server changes and return the world.
 
     Args:
@@ -550,7 +559,8 @@
         count: Number of server changes.
         deaths: Whether servers crash and writes fail.
         stale: Whether successors read the ledger before the handover.
+        cores: Of each server.
     """
-    world = HandoverWorld(seed, deaths=deaths, stale=stale)
+    world = HandoverWorld(seed, deaths=deaths, stale=stale, cores=cores)
     world.simulate_changes(count)
     return world
--- a/thistleline/state/policy_host.py
+++ b/thistleline/state/policy_host.py
@@ -4,6 +4,7 @@
 """
 
 import traceback
+from collections.abc import Container
 from dataclasses import replace
 
 from thistleline.interface import (
@@ -114,6 +115,16 @@
         self.pending += [TimerFired(name, gauges) for name in self._due_timers]
         self._due_timers = []
 
+    # ---- events
+
+    def drop_tasks(self, names: Container[str]) -> None:
+        """Remove tasks from the pending events, so that the policy does not decide on them."""
+        self.pending = [
+            event
+            for event in self.pending
+            if not isinstance(event, TaskArrived) or event.task.id not in names
+        ]
+
     # ---- rounds
 
     def run_round(self) -> None:
