A run forgets the repeats that wait for it no more, and does not start for their sake

Callers did not see it. With a ledger, a booking ran although all its clients had gone before its intent was on disk; and a client that repeats a task under way and leaves, again and again, made the run's list of repeats grow for as long as the run lasts.

Cause: Run.repeats got the name of each repeat that waits for the run's result, and no place took a name out when its client left or it was answered at its deadline. DurableStateMachine started a run whose list was not empty.

Change: an attempt knows the run that it awaits, and leaves that run's repeats when it is removed; ServerStateMachine._remove is the one place that does so.

Measured: in tests/test_repeats.py test_a_task_that_no_client_waits_for_is_not_started_once_its_intent_is_durable fails before (launched ["t1"]), and so does test_a_run_keeps_no_repeat_that_waits_for_it_no_more for a client that leaves and for a deadline (repeats ["2"]); all pass now.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from tests.host import MachineHarness, task, tenants
+from tests.host import BOOKING, MachineHarness, task, tenants
 from tests.test_ledger import START, LedgerHarness
+from thistleline.durable.effects import WriteLedger
 from thistleline.handover.effects import ForwardTask
 from thistleline.handover.events import (
     Inherited,
@@ -263,3 +264,41 @@
     harness.wait(3 * SECOND)
     assert harness.launched() == [running]
     assert harness.answers() == ["finished"]
+
+
+def test_a_task_that_no_client_waits_for_is_not_started_once_its_intent_is_durable(tmp_path: Path) -> None:
+    """Guards against a start for repeats whose clients have gone while the ledger was written."""
+    harness = LedgerHarness(tmp_path)
+    harness.defers_writes = True
+    harness.send(1, KEY)
+    harness.wait()
+    harness.send(2, KEY, is_retry=True)
+    harness.wait()
+    harness.handle(ConnectionEnded(1, "reset"))
+    harness.handle(ConnectionEnded(2, "reset"))
+    harness.wait()
+    harness.write(harness.effects_of(WriteLedger)[-1].write)
+    harness.wait()
+    assert harness.launched() == []
+    harness.defers_writes = False
+    harness.write(harness.effects_of(WriteLedger)[-1].write)
+    again = harness.send(3, KEY, is_retry=True)
+    harness.wait()
+    assert harness.launched() == [again]
+
+
+@pytest.mark.parametrize("end", ["the client leaves", "the deadline passes"])
+def test_a_run_keeps_no_repeat_that_waits_for_it_no_more(end: str) -> None:
+    """Guards against a run that keeps the names of all repeats that ever waited for it."""
+    harness = MachineHarness()
+    harness.send(1, KEY)
+    harness.wait()
+    harness.send(2, KEY, is_retry=True)
+    harness.wait()
+    (run,) = harness.machine.runs.values()
+    assert len(run.repeats) == 1
+    if end == "the client leaves":
+        harness.handle(ConnectionEnded(2, "reset"))
+    harness.wait(BOOKING.timeout)
+    assert harness.machine.runs
+    assert not run.repeats
--- a/thistleline/handover/state_machine.py
+++ b/thistleline/handover/state_machine.py
@@ -307,7 +307,7 @@
         """
         run = self.runs[name]
         repeats = run.repeats
-        run.repeats = []
+        run.repeats = {}
         number = self.handed_over_numbers.pop(name, None)
         if number is not None:
             self.context.emit(ReportRunEnd(number, "moot", b""))
--- a/thistleline/state/attempts.py
+++ b/thistleline/state/attempts.py
@@ -11,7 +11,18 @@
 class Attempt:
     """A task that has not been answered."""
 
-    __slots__ = ("arrived_at", "body", "connection", "deadline", "id", "key", "policy_knows", "seq", "stage")
+    __slots__ = (
+        "arrived_at",
+        "awaited_run",
+        "body",
+        "connection",
+        "deadline",
+        "id",
+        "key",
+        "policy_knows",
+        "seq",
+        "stage",
+    )
 
     def __init__(
         self,
@@ -45,6 +56,7 @@
         self.key = key
         self.body = body
         self.policy_knows = False
+        self.awaited_run: str | None = None  # name of the run whose result answers this attempt
 
 
 class Run:
@@ -82,4 +94,4 @@
         # The reply to the run's last downstream call: time, number of the notice that requested the call, and
         # the call's result, which is None if the call was skipped.
         self.call_reply: tuple[int, int, bytes | None] | None = None
-        self.repeats: list[str] = []  # names of the repeated attempts that get this run's result
+        self.repeats: dict[str, None] = {}  # names of the unanswered attempts that get this run's result
--- a/thistleline/state/decisions.py
+++ b/thistleline/state/decisions.py
@@ -88,7 +88,8 @@
         entry = machine.idempotency.by_key.get(attempt.key)
         runner = entry.runner if entry is not None else None
         if runner is not None and runner in machine.runs:
-            machine.runs[runner].repeats.append(task_id)
+            machine.runs[runner].repeats[task_id] = None
+            attempt.awaited_run = runner
         else:
             machine.context.count("repeats")
             machine.answer_repeat(task_id, entry.result if entry is not None else None)
--- a/thistleline/state/state_machine.py
+++ b/thistleline/state/state_machine.py
@@ -295,9 +295,8 @@
         that the policy has not seen are left out of its next round.
         """
         for name in names:
-            attempt = self.attempts.pop(name)
-            del self.by_id[attempt.id]
-            if attempt.policy_knows:
+            attempt = self._remove(name)
+            if attempt is not None and attempt.policy_knows:
                 self.notify_policy(ClientGone(name))
 
     # ---- tasks
@@ -362,12 +361,22 @@
 
         Attempts that are answered are removed only here, so that none is answered twice.
         """
-        attempt = self.attempts.pop(name, None)
+        attempt = self._remove(name)
         if attempt is not None:
-            del self.by_id[attempt.id]
             self.connections.answered(attempt.connection, name)
         return attempt
 
+    def _remove(self, name: str) -> Attempt | None:
+        """Remove an unanswered attempt from the tables, and from the run whose result it awaits."""
+        attempt = self.attempts.pop(name, None)
+        if attempt is None:
+            return None
+        del self.by_id[attempt.id]
+        run = self.runs.get(attempt.awaited_run) if attempt.awaited_run is not None else None
+        if run is not None:
+            run.repeats.pop(name, None)
+        return attempt
+
     def _finish(self, name: str, result: bytes | memoryview) -> bool:
         """Answer an attempt with a result; return whether it was still unanswered."""
         attempt = self.settle(name)
