A recovered run that an exception kept from the policy is passed to it once more

Not seen by callers: it needs an exception in the policy in the round that restores recovered runs; part ledger. Callers would have seen a task run again within its window after a restart.

Cause: after an exception PolicyHost._was_processed took each event as processed whose task the policy does not have. A recovered run (EffectRemembered) has no task, so it was never passed again; the host's table named it to repeats, the policy did not know the name and made a new effect.

Change: a recovered run counts as processed once the policy knows its effect.

Measured: test_a_recovered_run_is_known_although_the_policy_fails_in_its_first_round fails before (launched ["t2"] for []) and passes now.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -302,3 +302,23 @@
     harness.wait(BOOKING.timeout)
     assert harness.machine.runs
     assert not run.repeats
+
+
+def test_a_recovered_run_is_known_although_the_policy_fails_in_its_first_round(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second run after a restart when an exception ends the round that restores the run."""
+    harness = LedgerHarness(tmp_path)
+    first = harness.send(1, KEY)
+    harness.wait()
+    harness.end(first)
+    harness.wait()
+    harness.stop()
+    restarted = LedgerHarness(tmp_path, boot_time=START + SECOND, up=False)
+    restarted.handle(AgentGreeted(False, 60 * SECOND))
+    with monkeypatch.context() as context:
+        context.setattr(restarted.machine.policy, "round", fail_once(restarted.machine.policy.round))
+        restarted.wait()
+    repeat_beside_a_reset(restarted)
+    assert restarted.launched() == []
+    assert restarted.answers() == ["finished"]
--- a/thistleline/policy/idempotency.py
+++ b/thistleline/policy/idempotency.py
@@ -28,6 +28,10 @@
         """Memory used by the stored idempotency keys, kB."""
         return len(self.remembered) * self._settings.idempotency_key_kb
 
+    def has_effect(self, task_id: str) -> bool:
+        """Return whether the effect that this task requested is known."""
+        return task_id in self._effects
+
     def restore(self, task_id: str, expires_at: int) -> None:
         """Record that an effect ran in an earlier process, even if it is not known whether it ran.
 
--- a/thistleline/state/policy_host.py
+++ b/thistleline/state/policy_host.py
@@ -11,6 +11,7 @@
     ClientGone,
     DecisionSink,
     DrainRequested,
+    EffectRemembered,
     PolicyEvent,
     ServerSettings,
     TaskArrived,
@@ -175,6 +176,8 @@
         match event:
             case TaskArrived(task):
                 return task.id not in self._attempts or task.id in self.policy.tasks
+            case EffectRemembered(task_id):
+                return self.policy.state.idempotency.has_effect(task_id)
             case DrainRequested():
                 return self.policy.accept_until is not None
             case TimerFired():
