A shared read is not stopped while another client waits for its result

Callers saw, where reads of one subject share a run (`freshFor` above 0): a read fails because the client whose run it shares has left, or because that client's task passed its due time.

Cause: Completion.client_gone stopped an idempotent run when its own client was gone. Tasks with the state "replaying" name that run, but nothing looked for them; the stopped run answered them as failed.

Change: the run is stopped once neither its own client nor a duplicate waits for it, also when the last duplicate leaves later. Without shared reads nothing is looked for, so decisions stay the same.

Measured: in tests/test_repeats.py the tests for a client that has left and for a passed due time fail before (StopRun(attempt_id='read1') for none) and pass now; a third one, that the run is stopped once the last client has left, passes before and after.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from tests.host import BOOKING, MachineHarness, task, tenants
+from tests.host import BOOKING, LOOKUP, MachineHarness, task, tenants
 from tests.test_ledger import START, LedgerHarness
 from thistleline.durable.effects import WriteLedger
 from thistleline.handover.effects import ForwardTask
@@ -22,13 +22,14 @@
 )
 from thistleline.handover.state_machine import HandoverStateMachine
 from thistleline.interface import RunOutcome, Stage, Task
-from thistleline.policy import SECOND
+from thistleline.policy import MS, SECOND
 from thistleline.policy.admission import Admission
 from thistleline.policy.detectors import OverloadDetector
 from thistleline.policy.idempotency import IdempotencyTable
 from thistleline.policy.tasks import TaskRecord
 from thistleline.state.attempts import Run
-from thistleline.state.events import AgentGreeted, ConnectionEnded
+from thistleline.state.effects import StopRun
+from thistleline.state.events import AgentGreeted, ConnectionEnded, ConnectionOpened, TaskReceived
 
 KEY = "key"
 
@@ -322,3 +323,51 @@
     repeat_beside_a_reset(restarted)
     assert restarted.launched() == []
     assert restarted.answers() == ["finished"]
+
+
+def read(harness: MachineHarness, connection: int) -> str:
+    """Delivers a read of a subject that all reads have in common; returns the read's id."""
+    harness.count += 1
+    name = f"read{harness.count}"
+    harness.handle(ConnectionOpened(connection))
+    sent = task(name, harness.now, user=77)
+    harness.handle(TaskReceived(connection, harness.count, sent, "77", memoryview(b"")))
+    harness.wait()
+    return name
+
+
+def test_a_read_that_shares_a_run_is_answered_after_the_other_client_has_left() -> None:
+    """Guards against a read that fails because the client whose run it shares has left."""
+    harness = MachineHarness(cached_result_ttl=2 * SECOND)
+    first = read(harness, 1)
+    read(harness, 2)
+    harness.handle(ConnectionEnded(1, "reset"))
+    harness.wait()
+    assert harness.effects_of(StopRun) == []
+    harness.end(first)
+    assert harness.launched() == [first]
+    assert harness.answers() == ["finished"]
+
+
+def test_a_shared_run_is_stopped_once_its_last_client_has_left() -> None:
+    """Guards against a run that goes on although no client waits for it."""
+    harness = MachineHarness(cached_result_ttl=2 * SECOND)
+    first = read(harness, 1)
+    read(harness, 2)
+    for connection in (1, 2):
+        harness.handle(ConnectionEnded(connection, "reset"))
+        harness.wait()
+    assert harness.effects_of(StopRun) == [StopRun(first)]
+
+
+def test_a_read_that_shares_a_run_may_outlast_the_latency_objective_of_the_other() -> None:
+    """Guards against a read that fails because the run that it shares began long before it."""
+    harness = MachineHarness(cached_result_ttl=2 * SECOND)
+    first = read(harness, 1)
+    harness.wait(LOOKUP.latency_objective - 100 * MS)
+    read(harness, 2)
+    harness.wait(200 * MS)
+    assert harness.answers() == ["abandoned"]
+    assert harness.effects_of(StopRun) == []
+    harness.end(first)
+    assert harness.answers() == ["abandoned", "finished"]
--- a/thistleline/policy/completion.py
+++ b/thistleline/policy/completion.py
@@ -49,8 +49,8 @@
     def client_gone(self, task_id: str, out: DecisionSink) -> None:
         """End a task whose client no longer waits.
 
-        An idempotent run is stopped if runs can be stopped. Any other run continues, so that its result can
-        answer duplicates of the task.
+        An idempotent run is stopped if runs can be stopped and no other task waits for its result. Any other
+        run continues, so that its result can answer duplicates of the task.
         """
         state = self._state
         record = state.tasks.by_id.get(task_id)
@@ -58,11 +58,13 @@
             return
         if record.state in ("queued", "replaying"):
             self._remove(record, out)
+            original = state.tasks.by_id.get(record.task.duplicate_of or "")
+            if original is not None and original.state == "answered":
+                self._stop_unless_awaited(original, out)
             return
         state.downstream.withdraw(record)
-        is_restartable = state.settings.stages[record.task.stage].effect == "idempotent"
-        if record.state == "running" and state.settings.cancellation != "none" and is_restartable:
-            out.stop(task_id)
+        if record.state == "running":
+            self._stop_unless_awaited(record, out)
         record.state = "answered"
 
     def run_ended(self, task_id: str, outcome: RunOutcome, duration: int, out: DecisionSink) -> None:
@@ -119,6 +121,21 @@
         self._state.tasks.remove(record)
         self._state.idempotency.withdraw(self._state.now, record, out)
 
+    def _stop_unless_awaited(self, record: TaskRecord, out: DecisionSink) -> None:
+        """Stop an idempotent run whose client no longer waits, unless a duplicate waits for its result."""
+        settings = self._state.settings
+        is_idempotent = settings.stages[record.task.stage].effect == "idempotent"
+        if settings.cancellation != "none" and is_idempotent and not self._is_awaited(record.task.id):
+            out.stop(record.task.id)
+
+    def _is_awaited(self, task_id: str) -> bool:
+        if not self._state.settings.cached_result_ttl:
+            return False  # idempotent tasks do not share runs
+        return any(
+            other.state == "replaying" and other.task.duplicate_of == task_id
+            for other in self._state.tasks.by_id.values()
+        )
+
     def _is_fleet_overloaded(self) -> bool:
         """Return whether a retry at another server is as likely to be rejected as one at this server.
 
