A handover forwards tasks of a site without tenants

Seen by nobody: part handover, off unless set, at a site whose settings name no tenants.

Cause: HandoverStateMachine._forward took the name of the task's tenant from an empty tuple, and HandoverService._handle_forwarded refused a name that its settings don't have.

Change: the name is empty where there are no tenants, and a server without tenants takes any. The look-up moves to relay.decode_forwarded_task. The message keeps its form.

Measured: test_queued_tasks_and_their_repeats_are_forwarded_at_the_handover without tenants and test_a_forwarded_task_is_taken_whether_or_not_the_sites_have_tenants fail without the change in the state machine (IndexError) and pass now.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -4,12 +4,13 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from tests.host import BOOKING, LOOKUP, MachineHarness, task, tenants
+from tests.host import BOOKING, LOOKUP, MachineHarness, server_settings, task, tenants
 from tests.test_ledger import START, LedgerHarness
 from thistleline.durable.effects import WriteLedger
 from thistleline.handover.effects import ForwardTask
@@ -20,8 +21,10 @@
     SuccessorReady,
     TaskForwarded,
 )
+from thistleline.handover.messages import Forward, task_to_fields
+from thistleline.handover.relay import decode_forwarded_task
 from thistleline.handover.state_machine import HandoverStateMachine
-from thistleline.interface import RunOutcome, Stage, Task
+from thistleline.interface import RunOutcome, Stage, Task, Tenant
 from thistleline.policy import MS, SECOND
 from thistleline.policy.admission import Admission
 from thistleline.policy.detectors import OverloadDetector
@@ -250,9 +253,12 @@
     assert restarted.answers() == 3 * ["finished"]
 
 
-def test_queued_tasks_and_their_repeats_are_forwarded_at_the_handover(tmp_path: Path) -> None:
+@pytest.mark.parametrize("site_tenants", [(), tenants(100.0)])
+def test_queued_tasks_and_their_repeats_are_forwarded_at_the_handover(
+    tmp_path: Path, site_tenants: tuple[Tenant, ...]
+) -> None:
     """Guards against a predecessor that refuses or abandons a queued task that its successor may run."""
-    harness = HandoverHarness(tmp_path, cores=1, tenants=tenants(100.0))
+    harness = HandoverHarness(tmp_path, cores=1, tenants=site_tenants)
     running = harness.send(1, "another key")
     harness.wait()
     queued = [harness.send(2, KEY), harness.send(3, KEY, is_retry=True)]
@@ -267,6 +273,23 @@
     assert harness.answers() == ["finished"]
 
 
+@pytest.mark.parametrize(("sender", "receiver"), [((), ()), (tenants(1.0), ()), (tenants(1.0, 1.0),) * 2])
+def test_a_forwarded_task_is_taken_whether_or_not_the_sites_have_tenants(
+    tmp_path: Path, sender: tuple[Tenant, ...], receiver: tuple[Tenant, ...]
+) -> None:
+    """Guards against a task that is lost at a handover because its site has no tenants."""
+    harness = HandoverHarness(tmp_path, tenants=sender)
+    harness.handle(SuccessorReady(harness.now + 5 * SECOND))
+    harness.wait()
+    harness.send(1, KEY, tenant=max(0, len(sender) - 1))
+    (forwarded,) = harness.effects_of(ForwardTask)
+    message = Forward(
+        1, forwarded.stage, forwarded.tenant, task_to_fields(forwarded.task), KEY, forwarded.body
+    )
+    decoded = decode_forwarded_task(message, server_settings(tenants=receiver))
+    assert decoded == replace(forwarded.task, tenant=max(0, len(receiver) - 1))
+
+
 def test_a_task_that_no_client_waits_for_is_not_started_once_its_intent_is_durable(tmp_path: Path) -> None:
     """Guards against a start for repeats whose clients have gone while the ledger was written."""
     harness = LedgerHarness(tmp_path)
--- a/thistleline/handover/relay.py
+++ b/thistleline/handover/relay.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from thistleline.handover.effects import AnswerEffect, RelayedEvent
-from thistleline.handover.messages import AgentEventMessage, Answer
+from thistleline.handover.messages import AgentEventMessage, Answer, Forward, task_from_fields
+from thistleline.interface import ServerSettings, Task
 from thistleline.state.effects import AnswerAbandoned, AnswerFinished, AnswerMisunderstood, AnswerRejected
 from thistleline.state.events import AgentGreeted, AgentLost, CommandDeclined, GaugesMeasured, RunCompleted
 from thistleline.transport.codec import ProtocolError
@@ -69,6 +70,23 @@
     return answer
 
 
+def decode_forwarded_task(message: Forward, settings: ServerSettings) -> Task | None:
+    """Return a forwarded task with the indexes that its stage and tenant have in this server's settings.
+
+    Returns None if there is no such stage or tenant. Where this server's site has no tenants, any will do.
+
+    Raises:
+        msgspec.ValidationError: A field of the task is missing or has the wrong type.
+    """
+    stages = {stage.name: index for index, stage in enumerate(settings.stages)}
+    tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)} or {message.tenant: 0}
+    if message.stage not in stages or message.tenant not in tenants:
+        return None
+    return task_from_fields(
+        {**message.task, "stage": stages[message.stage], "owner": tenants[message.tenant]}
+    )
+
+
 def _construct(target_class: Callable[..., Any], values: list[Any]) -> Any:
     try:
         return target_class(*values)
--- a/thistleline/handover/service.py
+++ b/thistleline/handover/service.py
@@ -58,13 +58,13 @@
     StartHostedRun,
     StopHostedRun,
     Welcome,
-    task_from_fields,
     task_to_fields,
 )
 from thistleline.handover.relay import (
     ANSWER_KINDS,
     decode_agent_event,
     decode_answer,
+    decode_forwarded_task,
     encode_agent_event,
     encode_answer,
 )
@@ -252,15 +252,12 @@
         self.handle(PredecessorGone())
 
     def _handle_forwarded(self, message: Forward) -> None:
-        settings = self.configuration.settings
-        skew = self.clock.skew()
-        stages = [place for place, stage in enumerate(settings.stages) if stage.name == message.stage]
-        tenants = [place for place, tenant in enumerate(settings.tenants) if tenant.name == message.tenant]
-        if not stages or not tenants:
+        task = decode_forwarded_task(message, self.configuration.settings)
+        if task is None:
             reason = f"there is no stage {message.stage!r} or no owner {message.tenant!r} any more"
             self._send_to_predecessor(Answer(message.number, "misunderstood", [None, reason]))
             return
-        task = task_from_fields({**message.task, "stage": stages[0], "owner": tenants[0]})
+        skew = self.clock.skew()
         deadline = None if task.deadline is None else task.deadline + skew
         task = replace(task, arrived_at=task.arrived_at + skew, deadline=deadline)
         self.handle(TaskForwarded(message.number, task, message.dedup_key, message.body))
--- a/thistleline/handover/state_machine.py
+++ b/thistleline/handover/state_machine.py
@@ -75,6 +75,7 @@
 FREEZE_TIMEOUT = 2 * SECOND  # ns; limit on the freeze before the handover, after which serving resumes
 MAX_GRANT_ENTRIES = 4096  # limit on the number of runs and, separately, of owned ids in one grant
 PREDECESSOR_CONNECTION = -1  # connection number of tasks that the predecessor forwards
+NO_TENANT = ""  # stands for the tenant of a forwarded task where the site has no tenants
 PREDECESSOR_TAG = "e"  # prefix of the tags of measurements that the predecessor requested
 
 # Name of the counter that counts the successor's answers of each class.
@@ -330,7 +331,8 @@
         task, dedup_key = self.received[name]
         self.forwarded[name] = None
         stage = self.settings.stages[attempt.stage].name
-        tenant = self.settings.tenants[task.tenant].name
+        tenants = self.settings.tenants
+        tenant = tenants[task.tenant].name if tenants else NO_TENANT
         forwarded_task = replace(task, id=attempt.id, duplicate_of=None, arrived_at=attempt.arrived_at)
         self.context.emit(ForwardTask(name, forwarded_task, stage, tenant, dedup_key, attempt.body))
 
