The reset between two repeats is forced over real connections too

With rounds a second apart both repeats are read, and the reset is noticed, before the round after the first start: health checks behind the repeats and the log line of the ended connection show it, so nothing is waited for by time.

--- a/tests/test_server_races.py
+++ b/tests/test_server_races.py
@@ -400,6 +400,36 @@
     assert unread_launches(harness) == []
 
 
+def test_repeat_read_beside_a_reset_one_gets_result_of_first_run(make_harness: Any) -> None:
+    """Guards against a second run of a task whose repeat names an attempt that a reset has withdrawn.
+
+    Rounds are a second apart. Both repeats are read, and the reset is noticed, before the round that follows
+    the start of the first run.
+    """
+    harness: ServerHarness = make_harness(settings=SETTINGS | {"granularity": 1.0})
+    harness.wait_until_serving()
+    with harness.server.connect() as connection:
+        connection.sendall(process_call(1, booking_fields(1, "key")))
+        launch = harness.agent.receive()
+        with harness.server.connect() as other_connection:
+            other_connection.sendall(process_call(1, booking_fields(2, "key", dup="1")))
+            exchange(other_connection, probe_call(2, False))
+            connection.sendall(process_call(2, booking_fields(3, "key", dup="1")))
+            exchange(connection, probe_call(3, False))
+            other_connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        harness.server.wait_for_log("connection ended")
+        connection.sendall(process_call(4, task_fields(4)))
+        assert harness.agent.receive()[:3] == ("launch", f"{4:016x}", "lookup")
+        harness.agent.end_run(launch[1], b"booked")
+        results: dict[int, Any] = {}
+        for _, _, seq, fields in map(decode_message, read_frames(connection)):
+            results[seq] = fields.get(0, {}).get(1)
+            if {1, 2} <= results.keys():
+                break
+    assert (results[1], results[2]) == (b"booked", b"booked")
+    assert unread_launches(harness) == []
+
+
 def test_repeat_concurrent_with_sigterm_gets_result_of_first_run(harness: ServerHarness) -> None:
     with harness.server.connect() as connection:
         connection.sendall(process_call(1, booking_fields(1, "key")))
