--- a/review/common_2.py
+++ b/review/common_2.py
@@ -24,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+MAX_LINE = 400  # characters of a line in a record
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 STRING, STRUCT, MAP, BOOL = 11, 12, 13, 2
@@ -124,10 +125,12 @@
         self._cleanups: list[Callable[[], None]] = []
 
     def note(self, *words: object) -> None:
-        """Write a line with the time since the start to the record."""
+        """Write a line with the time since the start to the record, without paths of the machine."""
+        line = " ".join(str(word) for word in words)
+        for path, word in ((self.temporary, "TEMPORARY"), (ROOT, "ROOT"), (sys.base_prefix, "PYTHON")):
+            line = line.replace(str(path), word)
         with self._lock:
-            line = " ".join(str(word) for word in words)
-            self._record.write(f"{time.monotonic() - self.begun:8.3f} {line}\n")
+            self._record.write(f"{time.monotonic() - self.begun:8.3f} {line[:MAX_LINE]}\n")
             self._record.flush()
 
     def start(
@@ -176,7 +179,7 @@
         for path in sorted(self.temporary.glob("*.log")):
             for line in path.read_text(errors="replace").splitlines()[-25:]:
                 if '"event":"figures"' not in line:
-                    self.note(path.name, line[:400])
+                    self.note(path.name, line)
         self._record.close()
 
 
