Ledger: retain effects of classes that the settings do not have

Cause: recovery skipped the intents of an unknown class before it raised the expiry of their segment. The expiry stayed 0, and the first write of that server removed the segment. The same cause: a compaction dropped such effects, and ends that the agent or a predecessor reported meanwhile were read and not recorded.

Evidence: the logs of the case. The second server recovers 1 segment of 666 bytes and no effect, the third finds 56 bytes: the second had removed the segment, so neither the match of the key nor the policy's table comes into it.

Change: all intents inside their window are merged. A class that the settings lack gets an index after the server's own; its name goes into new headers (no change of the format). Its effects match no task, survive compaction with their results, and get their outcomes recorded. The line `recovered` counts them as `unmatched`.

The doc comment of a test in test_stored_fixtures.py said that such effects are dropped; its checks are as they were.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -118,7 +118,7 @@
         self.effects, self.answers_measurements, self.last_notice_number, self.count = [], True, 0, 0
         self.disk = FaultyDisk(folder)
         self.disk.acquire()
-        self.store = LedgerStore(self.disk, STAGES)
+        self.store = LedgerStore(self.disk, tuple(stage.name for stage in machine.settings.stages))
         self.store.boot = boot_id or self.store.boot
         self.defers_writes = False
         self.handle(EffectsRecovered(self.store.recover(machine.ledger)))
--- a/tests/test_stored_fixtures.py
+++ b/tests/test_stored_fixtures.py
@@ -114,7 +114,7 @@
 
 def test_stages_of_a_ledger_are_matched_by_name(tmp_path: Path) -> None:
     """Segment headers contain the stage names: a server with another order maps each effect to its stage,
-    and drops the effects of a stage that it no longer has."""
+    and does not match any task with the effects of a stage that it no longer has."""
     found, _ = recovered_ledger(copied_fixture(tmp_path, "ledger"), BOOT, ("booking", "lookup"))
     assert [(effect.number, effect.stage) for effect in found] == [(1, 0), (2, 0), (4, 0), (5, 1), (6, 0)]
     found, _ = recovered_ledger(copied_fixture(tmp_path / "again", "ledger"), BOOT, ("booking",))
--- a/thistleline/durable/state_machine.py
+++ b/thistleline/durable/state_machine.py
@@ -10,10 +10,11 @@
 from thistleline.durable.effects import WriteLedger
 from thistleline.durable.events import EffectsRecovered, WriteCompleted, WriteFailed
 from thistleline.interface import EffectRemembered, RunOutcome
+from thistleline.ledger.format import ATTEMPT_ID_SIZE
 from thistleline.ledger.records import RecoveredEffect
 from thistleline.ledger.state import LedgerState
 from thistleline.state.attempts import Attempt, Run
-from thistleline.state.events import AgentGreeted
+from thistleline.state.events import AgentGreeted, RunCompleted
 from thistleline.state.limits import EXIT_MARGIN, IN_DOUBT_WAIT_DIVISOR, SECOND
 from thistleline.state.options import MachineOptions
 from thistleline.state.phases import Lifecycle
@@ -152,6 +153,19 @@
         if event.cold_start:
             for name in list(self.unsettled):  # runs end with the agent process that ran them
                 self.end_run(name, "failed", 0, b"")
+            for attempt_id in list(self.ledger.unmatched.awaited):
+                self._end_unmatched(attempt_id, "failed", b"")
+
+    def _on_run_completed(self, event: RunCompleted) -> None:
+        """End a run; record the outcome also if the settings do not have the run's stage any more."""
+        attempt_id = event.attempt_id.encode("ascii", "replace")[:ATTEMPT_ID_SIZE]
+        if event.attempt_id not in self.at_agent and attempt_id in self.ledger.unmatched.awaited:
+            self._end_unmatched(attempt_id, event.outcome, event.result)
+        super()._on_run_completed(event)
+
+    def _end_unmatched(self, attempt_id: bytes, outcome: RunOutcome, result: bytes | memoryview) -> None:
+        stored = bytes(result) if outcome == "finished" else b""
+        self.ledger.record_unmatched_outcome(self._boot_time(), attempt_id, outcome, stored)
 
     def _restart_runs(self, mark: int) -> None:
         """Await the runs of earlier processes whose end is not in the notices that the agent retained.
--- a/thistleline/durable/writer.py
+++ b/thistleline/durable/writer.py
@@ -85,6 +85,7 @@
             ms=(boot_now() - self._begun_at) // MS,
             effects=len(effects),
             unsettled=sum(1 for effect in effects if effect.outcome is None),
+            unmatched=len(self._ledger.unmatched),
             segments=self._segments,
             bytes=self._bytes,
         )
--- a/thistleline/handover/service.py
+++ b/thistleline/handover/service.py
@@ -145,7 +145,8 @@
         started_at = time.monotonic()
         recovered = await anyio.to_thread.run_sync(takeover.read_remaining)
         elapsed_ms = round(1000 * (time.monotonic() - started_at))
-        self.note("ledger", state="recovered", effects=len(recovered), ms=elapsed_ms)
+        unmatched = len(self.machine.ledger.unmatched)
+        self.note("ledger", state="recovered", effects=len(recovered), unmatched=unmatched, ms=elapsed_ms)
         return recovered, listener if listener is not None else await self._listen()
 
     # ---- serving
--- a/thistleline/handover/state_machine.py
+++ b/thistleline/handover/state_machine.py
@@ -399,6 +399,8 @@
         name = self.effect_names.get(event.number)
         if name is not None and name in self.unsettled:
             self.end_run(name, event.outcome, 0, event.result)
+        elif (attempt_id := self.ledger.unmatched.attempt_of(event.number)) is not None:
+            self._end_unmatched(attempt_id, event.outcome, event.result)
 
     def _on_task_forwarded(self, event: TaskForwarded) -> None:
         if PREDECESSOR_CONNECTION not in self.connections.by_number:
--- a/thistleline/handover/takeover.py
+++ b/thistleline/handover/takeover.py
@@ -99,7 +99,7 @@
             self._store.read_appended(self._ledger, self._read_positions, True, boot_now())
         except (CorruptFrameError, OSError) as error:
             raise ConfigurationError(f"the ledger can't be read: {error}") from error
-        return list(self._ledger.recovered_effects())
+        return self._ledger.recovered_effects(self._store.stages.own_count)
 
     # ---- from a running server
 
--- a/thistleline/lab/ledger.py
+++ b/thistleline/lab/ledger.py
@@ -391,7 +391,7 @@
     now = boot_now()
     window = 3600 * 1_000_000_000  # ns
     disk.begin(1)
-    disk.append(ledger_format.encode_header(store.stages, store.boot))
+    disk.append(ledger_format.encode_header(store.stages.all(), store.boot))
     for first in range(0, entries, 1000):
         numbers = range(first + 1, min(first + 1000, entries) + 1)
         intents = [Intent(n, 0, n.to_bytes(16, "big"), now + window, window, b"%016x" % n) for n in numbers]
--- a/thistleline/ledger/__init__.py
+++ b/thistleline/ledger/__init__.py
@@ -9,5 +9,7 @@
 - `records`: the typed records that the other modules exchange.
 - `state`: all decisions (what to write and when, what to refuse, what expires), without I/O or a clock.
 - `recovery` and `compaction`: the parts of `state` that read the records of old segments and rewrite them.
+- `stages`: the names of stages, also of those that the server's settings do not have.
+- `unmatched`: the effects of those other stages, which no task can request now but which are retained.
 - `store`: the I/O, which performs writes and reads segments back.
 """
--- a/thistleline/ledger/format.py
+++ b/thistleline/ledger/format.py
@@ -36,6 +36,7 @@
 _OUTCOME = struct.Struct("<QBI")
 
 MIN_HEADER_SIZE = _HEADER.size  # bytes of a header without stages
+ATTEMPT_ID_SIZE = 16  # bytes; of a longer attempt id the first ones are recorded
 OUTCOME_KINDS = ("finished", "failed", "stopped", "moot", "doubtful")
 # Content of the result field of a doubtful outcome: boot time in ns until which the final outcome is awaited.
 DOUBT_DEADLINE = struct.Struct("<q")
--- a/thistleline/ledger/recovery.py
+++ b/thistleline/ledger/recovery.py
@@ -1,6 +1,6 @@
 """Rebuilds the ledger's table of effects from the groups of records that were read back from segments."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 
 from thistleline.ledger.format import DOUBT_DEADLINE, OUTCOME_KINDS, Intent, Outcome, RecordGroup
 from thistleline.ledger.records import EffectRecord, RecoveredEffect, SegmentInfo
@@ -17,15 +17,20 @@
         self.result_bytes = 0
 
     def merge_group(
-        self, now: int, segment: SegmentInfo, stages: list[int | None], same_boot: bool, group: RecordGroup
+        self,
+        now: int,
+        segment: SegmentInfo,
+        stages: Mapping[int, int] | Sequence[int],
+        same_boot: bool,
+        group: RecordGroup,
     ) -> None:
         """Merge one group; groups must be passed in the order in which they were written.
 
         Args:
             now: Boot time in ns.
             segment: The segment that holds the group; its `expires_at` is raised.
-            stages: For each stage in the segment's header, the stage's current index; None where the stage no
-                longer exists, so that no retry can match an effect of that stage.
+            stages: For each stage in the segment's header, the stage's current index; also of a stage that
+                the server does not have, whose effects are retained like all others.
             same_boot: Whether the segment's times refer to the current boot of the machine.
             group: The records.
         """
@@ -33,23 +38,27 @@
         self._merge_outcomes(segment, same_boot, group.outcomes)
 
     def _merge_intents(
-        self, now: int, segment: SegmentInfo, stages: list[int | None], same_boot: bool, intents: list[Intent]
+        self,
+        now: int,
+        segment: SegmentInfo,
+        stages: Mapping[int, int] | Sequence[int],
+        same_boot: bool,
+        intents: list[Intent],
     ) -> None:
         effects = self.effects
         latest = segment.expires_at
-        stage_count = len(stages)
         for intent in intents:
             number, recorded_stage, _, expires_at, lifetime, _ = intent
-            stage = stages[recorded_stage] if recorded_stage < stage_count else None
             if not same_boot or expires_at > now + lifetime:
                 # The duration of a reboot is unknown: the key's full window starts again at the recovery.
                 expires_at = now + lifetime
-            if stage is None or expires_at <= now:
+            if expires_at <= now:
                 continue
             if expires_at > latest:
                 latest = expires_at
             if number in effects:
                 continue  # a copy that a compaction wrote; the outcome may have been merged already
+            stage = stages[recorded_stage]
             if stage != recorded_stage or expires_at != intent.expires_at:
                 intent = intent._replace(stage=stage, expires_at=expires_at)
             effect = effects[number] = EffectRecord(intent)
--- a/thistleline/ledger/state.py
+++ b/thistleline/ledger/state.py
@@ -15,13 +15,15 @@
   a server that is killed repeatedly still gets to declare the effect doubtful.
 - An effect is retained until its key's idempotency window ends, measured by a clock that cannot be set. If
   the machine has rebooted, which takes an unknown time, the full window starts again at the recovery.
+- This also holds for the effects of stages that the server's settings do not have (unmatched effects).
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping, Sequence
 from typing import Literal
 
 from thistleline.ledger.compaction import compacted_group, doubt_record
 from thistleline.ledger.format import (
+    ATTEMPT_ID_SIZE,
     DOUBT_DEADLINE,
     FRAME_OVERHEAD,
     INTENT_SIZE,
@@ -33,6 +35,7 @@
 )
 from thistleline.ledger.records import EffectRecord, LedgerWrite, RecoveredEffect, SegmentInfo
 from thistleline.ledger.recovery import EffectRecovery
+from thistleline.ledger.unmatched import UnmatchedEffects
 
 MS = 1_000_000  # nanoseconds
 SECOND = 1_000_000_000  # nanoseconds
@@ -41,6 +44,7 @@
 SEGMENTS_PER_DISK_LIMIT = 8  # a segment is closed once it exceeds 1/8 of the disk limit
 FIRST_RETRY_BACKOFF = 100 * MS  # delay after a failed write; doubled after each further failure
 MAX_RETRY_BACKOFF = 5 * SECOND
+MAX_STAGES = 1 << 16  # limit that the format sets
 HEADER_SIZE_ESTIMATE = 512  # bytes that a segment's header is assumed to take
 
 # "keeping" means that records are accepted. The values appear in the metrics that the server logs.
@@ -74,6 +78,7 @@
         self.unfinished: set[int] = set()  # effects whose outcome is still to be recorded
         self.last_effect_number = 0
         self.recovery = EffectRecovery(self.effects, max_result_bytes)
+        self.unmatched = UnmatchedEffects(max_result_bytes)
 
         self.segments: dict[int, SegmentInfo] = {}
         self.current_segment: int | None = None  # segment of the next write; None: a new segment
@@ -118,7 +123,7 @@
             return None
         self.last_effect_number += 1
         number = self.last_effect_number
-        intent = Intent(number, stage, digest, self.now + lifetime, lifetime, attempt_id[:16])
+        intent = Intent(number, stage, digest, self.now + lifetime, lifetime, attempt_id[:ATTEMPT_ID_SIZE])
         self.effects[number] = EffectRecord(intent)
         self.pending_intents.append(intent)
         self.unfinished.add(number)
@@ -141,6 +146,13 @@
         if outcome == "moot":
             del self.effects[number]
 
+    def record_unmatched_outcome(self, now: int, attempt_id: bytes, outcome: str, result: bytes) -> None:
+        """Record how an unmatched effect ended, if its outcome is still awaited."""
+        number = self.unmatched.awaited.get(attempt_id)
+        if number is not None:
+            self.record_outcome(now, number, outcome, result)
+            self.unmatched.end(attempt_id, result)
+
     def record_doubt(self, now: int, number: int, deadline: int) -> None:
         """Record the boot time in ns until which the outcome of an earlier incarnation's effect is awaited.
 
@@ -181,7 +193,7 @@
             return None
         if compacts:
             self.compactions += 1
-            group = compacted_group(self.effects, self.max_disk_bytes // 4, self.stored_result)
+            group = compacted_group(self.effects, self.max_disk_bytes // 4, self._retained_result)
             obsolete = tuple(self.segments)
         else:
             group = self._take_pending()
@@ -276,14 +288,17 @@
         self.last_segment_number = max(self.last_segment_number, number)
 
     def recover_group(
-        self, segment: int, stages: list[int | None], same_boot: bool, group: RecordGroup
+        self,
+        segment: int,
+        stages: Mapping[int, int] | Sequence[int],
+        same_boot: bool,
+        group: RecordGroup,
     ) -> None:
         """Merge a group that was read back; segments must be read in the order of their numbers.
 
         Args:
             segment: Number of the segment that holds the group.
-            stages: For each stage in the segment's header, the stage's current index; None where the stage no
-                longer exists.
+            stages: For each stage in the segment's header, the stage's current index.
             same_boot: Whether the segment's times refer to the current boot of the machine.
             group: The records.
         """
@@ -298,9 +313,19 @@
         """
         self.segments = {number: info for number, info in self.segments.items() if number in numbers}
 
-    def recovered_effects(self) -> Iterable[RecoveredEffect]:
-        """Yield all unexpired effects after all segments have been read; to be called once."""
-        return self.recovery.take_effects(self.now)
+    def recovered_effects(self, stage_count: int = MAX_STAGES) -> list[RecoveredEffect]:
+        """Return the unexpired effects of the server's stages after all segments have been read.
+
+        To be called once. Effects of stages with an index of at least `stage_count`, which the server does
+        not have, are added to `unmatched` instead.
+        """
+        matched = []
+        for effect in self.recovery.take_effects(self.now):
+            if effect.stage < stage_count:
+                matched.append(effect)
+            else:
+                self.unmatched.add(effect)
+        return matched
 
     def forget_expired(self) -> None:
         """Drop the durable effects whose key's idempotency window has ended."""
@@ -309,6 +334,8 @@
             if self.effects[number].durable:
                 del self.effects[number]
                 self.unfinished.discard(number)
+        if self.unmatched:
+            self.unmatched.retain(self.effects)
 
     # ---- limits
 
@@ -340,6 +367,10 @@
 
     # ---- helpers
 
+    def _retained_result(self, number: int) -> bytes | None:
+        result = self.unmatched.result(number)
+        return self.stored_result(number) if result is None else result
+
     def _enqueue_outcome(self, outcome: Outcome) -> None:
         self.pending_outcomes.append(outcome)
         self.pending_outcomes_size += OUTCOME_SIZE + len(outcome.result)
--- a/thistleline/ledger/store.py
+++ b/thistleline/ledger/store.py
@@ -12,6 +12,7 @@
 
 from thistleline.ledger import format as ledger_format
 from thistleline.ledger.records import LedgerWrite, RecoveredEffect
+from thistleline.ledger.stages import SegmentStages, StageNames
 from thistleline.ledger.state import LedgerState
 from thistleline.store.disk import Disk, boot_id
 from thistleline.store.frames import CorruptFrameError
@@ -56,7 +57,7 @@
                 records.
         """
         self.disk = disk
-        self.stages = stages
+        self.stages = StageNames(stages)
         self.sync = sync
         self.boot = boot_id()
 
@@ -84,7 +85,7 @@
         disk = self.disk
         if write.creates_segment:
             disk.begin(write.segment)
-            disk.append(ledger_format.encode_header(self.stages, self.boot))
+            disk.append(ledger_format.encode_header(self.stages.all(), self.boot))
         for frame in _split_into_frames(write):
             disk.append(frame)
         if self.sync:
@@ -102,7 +103,7 @@
             progress: Called after each segment.
 
         Returns:
-            The unexpired effects.
+            The unexpired effects of the server's stages; those of other stages are in `ledger.unmatched`.
 
         Raises:
             CorruptFrameError: A segment has another format; the server must not start on a partial ledger.
@@ -114,7 +115,7 @@
                 data = memoryview(self.disk.read(number))
                 progress(self._read_segment(ledger, number, data))
             ledger.forget_expired()
-            return list(ledger.recovered_effects())
+            return ledger.recovered_effects(self.stages.own_count)
 
     def read_appended(self, ledger: LedgerState, positions: dict[int, int], final: bool, now: int) -> None:
         """Read the records that another program, which may still be writing, has added to the folder.
@@ -162,8 +163,7 @@
             header = ledger_format.decode_header(data)
         except CorruptFrameError as error:
             raise CorruptFrameError(f"{self.disk.path(number)}: {error}") from error
-        own_indexes = {name: index for index, name in enumerate(self.stages)}
-        stages = [own_indexes.get(name) for name in header.stages]
+        stages = SegmentStages(self.stages, header.stages)
         same_boot = header.boot == self.boot and any(header.boot)
         intents = outcomes = damaged_bytes = 0
         torn = False
