Council and feed: limit the memory of incomplete messages of all peers together

What callers saw: hundreds of peers that sent a large part of a message and stopped took a process of the council or the feed past its memory limit of 192 MB.

Cause: message sizes are limited for each connection only, and the event loop held up to 256 KiB for each connection that no decoder had counted.

Change: a budget of 16 MiB closes the connection whose incomplete message began first, so that peers which send without pauses are kept; receive buffers of accepted connections are 64 KiB in the system; a peer of the feed that does not follow is read while at most 64 KiB are queued for it.

--- a/thistleline/config_feed/listener.py
+++ b/thistleline/config_feed/listener.py
@@ -15,11 +15,13 @@
 from thistleline.config_feed.limits import MESSAGE_SIZE_LIMIT, PEER_ID_LENGTH_LIMIT
 from thistleline.config_feed.messages import SourceMessage, decode_follower
 from thistleline.config_feed.peer_log import PeerLog
-from thistleline.config_feed.send_queue import CHUNK_SIZE, FrameEncoder
+from thistleline.config_feed.send_queue import READ_THRESHOLD, REQUESTS_READ_THRESHOLD, FrameEncoder
 from thistleline.store.clock import boot_now
 from thistleline.transport.codec import FrameDecoder, Hello, ProtocolError, encode_frame, negotiate_version
 from thistleline.transport.disconnects import report_disconnects
 from thistleline.transport.handshake import receive_hello
+from thistleline.transport.listening import READ_SIZE
+from thistleline.transport.receive_budget import ReceiveBudget
 
 HELLO_TIMEOUT = 2.0  # s in which a new connection has to complete the exchange of hellos
 MAX_NON_FOLLOWERS = 64  # connections that do not follow, such as single requests, beyond those of followers
@@ -59,6 +61,7 @@
         # Connections that have not asked to follow, the oldest first.
         self._non_followers: OrderedDict[int, DownstreamConnection] = OrderedDict()
         self._accepted = 0
+        self._receive_budget = ReceiveBudget()
 
     # ---- for the service
 
@@ -146,11 +149,18 @@
         await connection.stream.send(encode_frame(msgspec.msgpack.encode(own)))
 
     async def _receive(self, connection: DownstreamConnection) -> None:
-        decoder = FrameDecoder(MESSAGE_SIZE_LIMIT)
-        while True:
-            data = await connection.stream.receive(CHUNK_SIZE)
-            connection.last_received_at = boot_now()
-            for payload in decoder.feed(data):
-                message = SubscriberMessage(connection.number, decode_follower(payload))
-                await self._inbox.put_and_wait([message])
-                await connection.queue.wait_until_readable()
+        account = self._receive_budget.open_account(
+            lambda: connection.end("incomplete messages exceed the limit")
+        )
+        decoder = FrameDecoder(MESSAGE_SIZE_LIMIT, account)
+        try:
+            while True:
+                data = await connection.stream.receive(READ_SIZE)
+                connection.last_received_at = boot_now()
+                for payload in decoder.feed(data):
+                    message = SubscriberMessage(connection.number, decode_follower(payload))
+                    await self._inbox.put_and_wait([message])
+                    threshold = READ_THRESHOLD if connection.follows else REQUESTS_READ_THRESHOLD
+                    await connection.queue.wait_until_readable(threshold)
+        finally:
+            account.release()
--- a/thistleline/config_feed/send_queue.py
+++ b/thistleline/config_feed/send_queue.py
@@ -18,6 +18,9 @@
 # Bytes; while more is queued for a peer, nothing is read from it. Larger than a delta together with all
 # tenants that a peer may request.
 READ_THRESHOLD = MAX_QUEUED // 2
+REQUESTS_READ_THRESHOLD = (
+    1 << 16
+)  # bytes; the same for a peer that does not follow, of which there may be many
 MAX_ENCODED = 16  # encoded messages that are cached, as the same message is sent to many receivers
 CHECK_INTERVAL = 500 * MS  # ns between two checks for peers that read nothing or send nothing
 
@@ -81,9 +84,9 @@
         self._closing = True
         self._added.set()
 
-    async def wait_until_readable(self) -> None:
-        """Wait until at most `READ_THRESHOLD` bytes are queued, so that more may be read from the peer."""
-        while self.size > READ_THRESHOLD:
+    async def wait_until_readable(self, threshold: int = READ_THRESHOLD) -> None:
+        """Wait until at most `threshold` bytes are queued, so that more may be read from the peer."""
+        while self.size > threshold:
             await self._shrunk.wait()
 
     async def send_all(self, stream: ByteStream) -> None:
--- a/thistleline/config_feed/service.py
+++ b/thistleline/config_feed/service.py
@@ -55,6 +55,7 @@
 from thistleline.reducer.events import DeadlineReached
 from thistleline.store.clock import boot_now
 from thistleline.transport.address import Address
+from thistleline.transport.listening import listen
 
 SHUTDOWN_TIMEOUT = 3.0  # s to release the lease and to write pending changes to the archive
 
@@ -144,8 +145,7 @@
             self.log("left", number=self.relay.table.sequence)
 
     async def _run(self, signals: AsyncIterator[signal.Signals]) -> None:
-        host, port = self.address
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        listener = await listen(self.address)
         self._log_start()
         self._freezer.freeze(self.relay.table)
         async with listener, anyio.create_task_group() as tasks:
--- a/thistleline/lease/service.py
+++ b/thistleline/lease/service.py
@@ -44,6 +44,8 @@
 )
 from thistleline.transport.disconnects import report_disconnects
 from thistleline.transport.handshake import receive_hello
+from thistleline.transport.listening import READ_SIZE, listen
+from thistleline.transport.receive_budget import ReceiveAccount, ReceiveBudget
 
 MILLISECOND = 1_000_000  # ns
 # If the process pauses for longer than this plus a heartbeat interval, received messages are read before
@@ -56,7 +58,6 @@
 MAX_HOLDERS = 50_000  # holder ids whose connection is stored, to hint that a lease may have been granted
 MAX_INBOUND_PEERS = 16  # replicas whose address is stored because they connected to this one
 REPLICA_READ_SIZE = 1 << 18  # bytes
-CLIENT_READ_SIZE = 1 << 16  # bytes
 NORMAL_DISCONNECTS = ("EndOfStream", "BrokenResourceError", "ClosedResourceError")
 
 
@@ -98,6 +99,7 @@
         self.links = PeerLinks(config, self.rng, log, self._own_hello)
         self.connections: OrderedDict[int, InboundConnection] = OrderedDict()
         self.connection_count = 0
+        self.receive_budget = ReceiveBudget()
         self.holder_connections: OrderedDict[str, int] = (
             OrderedDict()
         )  # connection of the last request, by holder id
@@ -140,7 +142,7 @@
         Raises:
             OSError: The address can't be listened on.
         """
-        listener = await anyio.create_tcp_listener(local_host=self.listen[0], local_port=self.listen[1])
+        listener = await listen(self.listen)
         state = self.replica.state
         self.log(
             "started",
@@ -276,22 +278,26 @@
     async def _serve_peer(self, number: int, connection: InboundConnection) -> None:
         """Exchange Hellos, then serve a replica or a client."""
         stream = connection.stream
+        account = self.receive_budget.open_account(connection.scope.cancel)
         with anyio.fail_after(HELLO_TIMEOUT):
             hello = await receive_hello(stream)
         negotiate_version(self._own_hello(), hello)
         await stream.send(encode_frame(encode(self._own_hello())))
-        if hello.kind == "voter":
-            await self._receive_messages(stream, hello)
-        elif hello.kind == "client":
-            await self._receive_requests(number, connection)
-        else:
-            raise ProtocolError(f"a replica does not accept connections of kind {hello.kind}")
+        try:
+            if hello.kind == "voter":
+                await self._receive_messages(stream, hello, account)
+            elif hello.kind == "client":
+                await self._receive_requests(number, connection, account)
+            else:
+                raise ProtocolError(f"a replica does not accept connections of kind {hello.kind}")
+        finally:
+            account.release()
 
     def _log_disconnect(self, why: str) -> None:
         if why not in NORMAL_DISCONNECTS:
             self.links.log_state("inbound connection", why)
 
-    async def _receive_messages(self, stream: SocketStream, hello: Hello) -> None:
+    async def _receive_messages(self, stream: SocketStream, hello: Hello, account: ReceiveAccount) -> None:
         """Receive a replica's messages.
 
         Raises:
@@ -299,7 +305,7 @@
         """
         if hello.address:
             self._remember_inbound_peer(hello)
-        decoder = FrameDecoder(MAX_REPLICA_MESSAGE_SIZE)
+        decoder = FrameDecoder(MAX_REPLICA_MESSAGE_SIZE, account)
         while True:
             for payload in decoder.feed(await stream.receive(REPLICA_READ_SIZE)):
                 cluster_id = self.replica.state.cluster_id
@@ -314,13 +320,15 @@
             del self.inbound_peers[next(iter(self.inbound_peers))]
         self.inbox_filled.set()
 
-    async def _receive_requests(self, number: int, connection: InboundConnection) -> None:
+    async def _receive_requests(
+        self, number: int, connection: InboundConnection, account: ReceiveAccount
+    ) -> None:
         """Receive a client's requests and send the answers."""
-        decoder = FrameDecoder(MAX_CLIENT_MESSAGE_SIZE)
+        decoder = FrameDecoder(MAX_CLIENT_MESSAGE_SIZE, account)
         async with anyio.create_task_group() as group:
             group.start_soon(connection.send_output)
             while True:
-                for payload in decoder.feed(await connection.stream.receive(CLIENT_READ_SIZE)):
+                for payload in decoder.feed(await connection.stream.receive(READ_SIZE)):
                     request = decode_request(payload)
                     await connection.begin_request()
                     self._remember_holder(number, request.op)
--- a/thistleline/transport/codec.py
+++ b/thistleline/transport/codec.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from thistleline.transport.receive_budget import ReceiveAccount
+
 SUPPORTED_VERSIONS = (1, 1)  # lowest and highest protocol version of this program
 MAX_CLIENT_MESSAGE_SIZE = 1 << 20  # bytes of a message between a client and a replica
 MAX_REPLICA_MESSAGE_SIZE = 64 << 20  # bytes of a message between two replicas
@@ -63,9 +65,15 @@
 class FrameDecoder:
     """Splits a stream of bytes into payloads."""
 
-    def __init__(self, max_size: int) -> None:
-        """Create a decoder for payloads of up to `max_size` bytes."""
+    def __init__(self, max_size: int, account: ReceiveAccount | None = None) -> None:
+        """Create a decoder for payloads of up to `max_size` bytes.
+
+        Args:
+            max_size: Largest size of a payload, bytes.
+            account: Counts the bytes of the incomplete payload; None without a common limit.
+        """
         self.max_size = max_size
+        self._account = account
         self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
@@ -88,4 +96,6 @@
             payloads.append(bytes(memoryview(buffer)[start : start + length]))
             offset = start + length
         del buffer[:offset]
+        if self._account is not None:
+            self._account.update(len(buffer), is_new_message=bool(payloads))
         return payloads
