Server: start no task of a client that has closed its connection

What callers saw: a client closed its connection with many requests unread, and some of them were sent on to the agent afterwards, on cores that others waited for.

A round in between could start tasks of a connection that had ended.

Change: after each read the system is asked whether the peer has ended; tasks found in the buffer then are not started. Connections that are not read are watched for their end before each round. The end of a connection released its tasks before, too.

--- a/tests/test_server_races.py
+++ b/tests/test_server_races.py
@@ -8,6 +8,7 @@
 import select
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -665,3 +666,50 @@
 def short_deadline_settings() -> dict[str, Any]:
     classes = [{**stage_class, "promise": 0.4, "deadline": 0.9} for stage_class in SETTINGS["classes"]]
     return {**SETTINGS, "classes": classes}
+
+
+# ---- clients that leave
+
+
+def leave(connection: socket.socket, resets: bool) -> None:
+    """Closes the connection, with a reset or without."""
+    if resets:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["end", "reset"])
+@pytest.mark.parametrize("count", [3, 300])
+def test_tasks_unread_when_their_client_left_are_not_started(
+    harness: ServerHarness, count: int, resets: bool
+) -> None:
+    # Guards against requests that are sent on to the agent after their client has closed its connection.
+    connection = harness.server.connect()
+    exchange(connection, probe_call(1, False))
+    harness.server.pause()
+    connection.sendall(b"".join(process_call(number, task_fields(number)) for number in range(2, 2 + count)))
+    leave(connection, resets)
+    os.kill(harness.server.process.pid, signal.SIGCONT)
+    with harness.server.connect() as other_connection:
+        other_connection.sendall(process_call(1, task_fields(9000)))
+        assert harness.finish_next_run(b"read")[1] == task_fields(9000)["ref"]
+        assert set(decode_message(next(read_frames(other_connection)))[3]) == {0}
+    assert harness.agent.received.empty()
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["end", "reset"])
+def test_queued_tasks_of_a_client_that_left_are_not_started(harness: ServerHarness, resets: bool) -> None:
+    # Guards against a connection that is not read, as many tasks are open, and whose end goes unnoticed.
+    connection = harness.server.connect()
+    connection.sendall(b"".join(process_call(number, task_fields(number)) for number in range(1, 301)))
+    first_runs = [harness.agent.receive()[1] for _ in range(SETTINGS["familyInfo"]["cpus"])]
+    leave(connection, resets)
+    with harness.server.connect() as other_connection:
+        exchange(other_connection, probe_call(1, False))
+        for run in first_runs:
+            harness.agent.end_run(run, b"read")
+        other_connection.sendall(process_call(2, task_fields(9000)))
+        command = harness.agent.receive()
+        while command[0] != "launch":  # the runs of the client that left are stopped
+            command = harness.agent.receive()
+        assert command[1] == task_fields(9000)["ref"]
--- a/thistleline/server/listener.py
+++ b/thistleline/server/listener.py
@@ -5,6 +5,7 @@
 """
 
 import errno
+import select
 import socket
 import sys
 from collections import OrderedDict
@@ -17,7 +18,7 @@
 from anyio.abc import TaskGroup
 
 from thistleline.server.configuration import Address
-from thistleline.server.streams import Stream
+from thistleline.server.streams import PEER_END_EVENTS, Stream
 from thistleline.state.effects import (
     AnswerAbandoned,
     AnswerFinished,
@@ -127,6 +128,9 @@
         # Event set once no connection lingers; None unless `finish` waits for that.
         self._all_closed: anyio.Event | None = None
         self._accepted = 0  # number of connections accepted so far
+        # Connections that are not read now, by file descriptor, and the poll for the end of their peers.
+        self._unread: dict[int, int] = {}
+        self._unread_poll = select.poll()
 
     # ---- connections
 
@@ -202,11 +206,34 @@
 
     async def _read_messages(self, number: int, stream: Stream) -> None:
         while await stream.read():
+            # The end of a connection releases its tasks, so tasks that are read after it must not start.
+            has_client_left = stream.has_peer_ended()
             for request in self._codec.decode_requests(stream.buffer):
+                if has_client_left and isinstance(request, TaskRequest):
+                    continue
                 self._handle(_to_event(number, request))
                 if stream.finishing or stream.closed:
                     return
             self._handle(InputDrained(number, len(stream.buffer) > 0))
+            if stream.awaits_request and number in self._streams:
+                self._watch_unread(number, stream)
+
+    def _watch_unread(self, number: int, stream: Stream) -> None:
+        self._unread[stream.fileno()] = number
+        self._unread_poll.register(stream.fileno(), PEER_END_EVENTS)
+
+    def _unwatch(self, stream: Stream) -> None:
+        if self._unread.pop(stream.fileno(), None) is not None:
+            self._unread_poll.unregister(stream.fileno())
+
+    def departed(self) -> list[int]:
+        """Return the connections whose client has left while the server does not read them.
+
+        Reading finds the end of the other connections.
+        """
+        if not self._unread:
+            return []
+        return [self._unread[descriptor] for descriptor, _ in self._unread_poll.poll(0)]
 
     def _limit_connections(self) -> None:
         """Free file descriptors for served connections: above the limit, close the oldest lingering ones."""
@@ -224,6 +251,7 @@
         """Stop reading requests; the stream lingers so that the client still receives what was written."""
         stream = self._streams.pop(number, None)
         if stream is not None:
+            self._unwatch(stream)
             self._lingering[number] = stream
             stream.finish()
             self._limit_connections()
@@ -261,6 +289,7 @@
     def _read(self, effect: ReadConnection) -> None:
         stream = self._streams.get(effect.connection)
         if stream is not None:
+            self._unwatch(stream)
             stream.request_read()
 
     def _write(self, number: int, data: bytes) -> None:
--- a/thistleline/server/service.py
+++ b/thistleline/server/service.py
@@ -348,13 +348,16 @@
     def _flush(self) -> None:
         """Write everything that is queued."""
         self._is_flushing = True
-        for connection in self.clients.flush():
-            self.clients.close(connection)
-            self.handle(ConnectionEnded(connection, "the peer is gone or not reading"))
+        self._end_connections(self.clients.flush(), "the peer is gone or not reading")
         self.agent.flush()
         self.backend.flush()
         self._is_flushing = False
 
+    def _end_connections(self, connections: Iterable[int], reason: str) -> None:
+        for connection in connections:
+            self.clients.close(connection)
+            self.handle(ConnectionEnded(connection, reason))
+
     async def process_deadlines(self) -> None:
         """Notify the state machine when its deadlines pass.
 
@@ -388,6 +391,7 @@
         if timer_due is not None:
             self._max_lateness = max(self._max_lateness, self.clock.now() - timer_due)
         started_at = self.clock.now()
+        self._end_connections(self.clients.departed(), "the client has left")
         self.handle(DeadlineReached())
         self._max_round = max(self._max_round, self.clock.now() - started_at)
         if self._undecided_since and not self.machine.policy_host.pending:
--- a/thistleline/server/streams.py
+++ b/thistleline/server/streams.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import select
 import socket
 
 import anyio
@@ -14,6 +15,7 @@
 # Bytes discarded from a peer that keeps sending to a closing stream; beyond that the connection is reset.
 MAX_DISCARDED = 256 * 1024
 DISCARD_CHUNK = 16 * 1024  # bytes discarded per read
+PEER_END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Stream:
@@ -79,6 +81,21 @@
             self.buffer.filled(count)
             return count
 
+    @property
+    def awaits_request(self) -> bool:
+        """Whether nothing is read until the next read request."""
+        return not self._read_wanted
+
+    def fileno(self) -> int:
+        """Return the socket's file descriptor; -1 once the stream is closed."""
+        return self._sock.fileno()
+
+    def has_peer_ended(self) -> bool:
+        """Return whether the peer has ended or reset the connection, even if input is still unread."""
+        poll = select.poll()
+        poll.register(self._sock, PEER_END_EVENTS)
+        return bool(poll.poll(0))
+
     def _check_readable(self) -> None:
         if self.closed or self.finishing:
             raise anyio.ClosedResourceError
