Membership: no datagram of a stranger ends a member

What callers saw: one unsound datagram ended a member, and so a steward or a conductor.

Cause: the decoder's RecursionError for deep nesting was not ignored with its other errors; and a record with incarnation 2**64 - 1 was refuted with 2**64, which cannot be encoded.

Change: `decode` raises InvalidDatagramError for all that is no message; incarnations above 2**63 - 1 are ignored, and a refutation stops there.

Tests: test_datagrams_of_strangers_do_not_end_a_member (real process) and test_a_member_refutes_no_incarnation_with_one_that_can_not_be_sent; both fail without the change.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,9 +2,11 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -26,6 +28,7 @@
     MemberFacts,
     MemberRecord,
     Ping,
+    decode,
     encode,
 )
 from thistleline.membership.view import MembershipView, merge_records
@@ -181,6 +184,51 @@
     assert set(member.view.records) == {"me"}
 
 
+@pytest.mark.parametrize("incarnation", [2**63 - 1, 2**63, 2**64 - 1])
+def test_a_member_refutes_no_incarnation_with_one_that_can_not_be_sent(incarnation: int) -> None:
+    # Guards against a record that makes a member raise an incarnation beyond the limit of the encoding.
+    member = make_member()
+    for _ in range(2):
+        record = MemberRecord("me", "here", incarnation, DEAD, 1, FACTS)
+        member.handle(1, MessageReceived("there", Ping(1, (record,))))
+    assert member.own_record.status == ALIVE
+    assert decode(encode(Ping(2, (member.own_record,)))) == Ping(2, (member.own_record,))
+
+
+def test_datagrams_of_strangers_do_not_end_a_member(tmp_path: Path) -> None:
+    # Guards against a member that ends at one datagram: nested deeply, or with the greatest incarnation.
+    port = free_port()
+    (tmp_path / "conf").write_text(f"members name me\nmembers listen 127.0.0.1:{port}\n")
+    command = [sys.executable, "-m", "thistleline", "members", "--conf", str(tmp_path / "conf")]
+    process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    nested = bytes.fromhex("930790") + 1100 * b"\x91" + b"\xc0"
+    claim = encode(Ping(1, (MemberRecord("me", "127.0.0.1:9", 2**64 - 1, DEAD, 1, FACTS),)))
+    try:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
+            client.connect(("127.0.0.1", port))
+            client.settimeout(0.2)
+            wait_for_ack(client, 1)
+            for datagram in (nested, claim, os.urandom(60), b""):
+                client.send(datagram)
+            wait_for_ack(client, 2)
+        assert process.poll() is None
+    finally:
+        process.kill()
+        process.wait()
+
+
+def wait_for_ack(client: socket.socket, number: int) -> None:
+    """Ping a member until it answers; a datagram may be lost."""
+    deadline = time.monotonic() + 20
+    while True:
+        assert time.monotonic() < deadline
+        with suppress(OSError):
+            client.send(encode(Ping(number, ())))
+            answer = decode(client.recv(MAX_DATAGRAM_SIZE))
+            if isinstance(answer, Ack) and answer.number == number:
+                return
+
+
 def test_member_processes_list_each_other_a_leave_and_a_kill(tmp_path: Path) -> None:
     ports = [free_port() for _ in range(4)]
     processes = []
--- a/thistleline/membership/gossip.py
+++ b/thistleline/membership/gossip.py
@@ -21,6 +21,7 @@
     DEAD,
     LEFT,
     MAX_DATAGRAM_SIZE,
+    MAX_INCARNATION,
     STATUS_NAMES,
     SUSPECT,
     Ack,
@@ -353,7 +354,7 @@
         if update.status != ALIVE or update.incarnation > own.incarnation:
             if update.status == SUSPECT:
                 self.health.worsen(1)
-            self._put_own(update.incarnation + 1, ALIVE, own.version + 1, own.facts)
+            self._put_own(min(update.incarnation + 1, MAX_INCARNATION), ALIVE, own.version + 1, own.facts)
 
     def _put_own(self, incarnation: int, status: int, version: int, facts: MemberFacts) -> None:
         self.view.put(MemberRecord(self.id, self.address, incarnation, status, version, facts))
--- a/thistleline/membership/messages.py
+++ b/thistleline/membership/messages.py
@@ -10,6 +10,7 @@
 MAX_ID_LENGTH = 64  # characters of a member's id
 MAX_TEXT_LENGTH = 64  # characters of an address, a release or a zone
 ALIVE, SUSPECT, DEAD, LEFT = 0, 1, 2, 3  # a greater status overrides a lesser one
+MAX_INCARNATION = 2**63 - 1  # leaves room to refute a record before the encoding's limit of 2**64 - 1
 STATUS_NAMES = ("alive", "suspect", "dead", "left")
 
 
@@ -122,4 +123,20 @@
 
 Message = Ping | Ack | PingRequest | Nack | BucketDigest | BucketRecords | Join
 encode = msgspec.msgpack.Encoder().encode
-decode = msgspec.msgpack.Decoder(Message).decode
+_decode = msgspec.msgpack.Decoder(Message).decode
+
+
+class InvalidDatagramError(Exception):
+    """A datagram is not a message of this protocol."""
+
+
+def decode(data: bytes) -> Message:
+    """Decode a datagram, which anyone may have sent.
+
+    Raises:
+        InvalidDatagramError: The datagram is not a message.
+    """
+    try:
+        return _decode(data)
+    except (msgspec.MsgspecError, RecursionError) as error:  # a nested value, even in an unknown field
+        raise InvalidDatagramError(str(error)) from error
--- a/thistleline/membership/service.py
+++ b/thistleline/membership/service.py
@@ -7,7 +7,6 @@
 from random import Random
 
 import anyio
-import msgspec
 from anyio.abc import UDPSocket
 
 from thistleline.config.schema import MembershipConfig
@@ -16,6 +15,7 @@
 from thistleline.membership.gossip import Gossip, GossipTiming
 from thistleline.membership.messages import (
     BucketRecords,
+    InvalidDatagramError,
     Join,
     MemberFacts,
     MemberRecord,
@@ -88,7 +88,7 @@
     async def _read(self, socket: UDPSocket) -> None:
         async for data, sender in socket:
             # Anyone may send a datagram to this address; datagrams that are not valid messages are ignored.
-            with suppress(msgspec.MsgspecError):
+            with suppress(InvalidDatagramError):
                 self.received.append(MessageReceived(format_address(sender), decode(data)))
                 self.woken.set()
 
@@ -148,7 +148,10 @@
         with anyio.move_on_after(timeout), suppress(OSError):
             await socket.send(encode(Join(())))
             while True:
-                message: Message = decode(await socket.receive())
+                message: Message | None = None
+                data = await socket.receive()
+                with suppress(InvalidDatagramError):
+                    message = decode(data)
                 if isinstance(message, BucketRecords):
                     found |= {record.id: record for record in message.records}
     return sorted(found.values(), key=lambda record: record.id)
--- a/thistleline/membership/view.py
+++ b/thistleline/membership/view.py
@@ -9,6 +9,7 @@
     DEAD,
     LEFT,
     MAX_ID_LENGTH,
+    MAX_INCARNATION,
     MAX_TEXT_LENGTH,
     MemberRecord,
     encode,
@@ -34,7 +35,7 @@
         and len(facts.release) <= MAX_TEXT_LENGTH
         and len(facts.zone) <= MAX_TEXT_LENGTH
         and len(facts.figures) <= MAX_FIGURES
-        and record.incarnation >= 0
+        and 0 <= record.incarnation <= MAX_INCARNATION
         and 0 <= record.status <= LEFT
     )
 
