Server: a request has at most 256 values

What callers saw: while hundreds of clients sent requests of very many short fields, others got their answers late or never.

Cause: unknown fields and repeated maps were read up to the size of a frame, about 2,000 values, some milliseconds for each request.

Evidence: 900 such connections at full speed for 6 s on a real server; of 130 requests of a sound client 80 had no answer in their time, p50 of the others 6.0 s. The number of events was small (51 tasks) and memory held at 38 MB, which rules out the policy and the tables.

Change: the reader counts values; the 257th makes the message malformed.

Test: test_a_request_with_very_many_values_is_refused_before_all_are_read; its 3 forms fail without the change.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -188,6 +188,27 @@
         assert decode_requests([sent[position : position + 1] for position in range(len(sent))]) == first[:1]
 
 
+@pytest.mark.parametrize("form", ["fields", "maps", "items"])
+def test_a_request_with_very_many_values_is_refused_before_all_are_read(form: str) -> None:
+    # Guards against clients that occupy the server with heads of very many short fields.
+    values: dict[str, Any] = {
+        "fields": [(TType.BOOL, True)] * 1500,
+        "maps": [(TType.MAP, {f"k{index}": "" for index in range(64)})] * 9,
+        "items": [(TType.MAP, task_fields(1)), (TType.STRING, b""), (TType.STRING, b"")],
+    }
+    message = encode_call("process", 7, *values[form])
+    if form == "items":  # the last field becomes a list of as many items
+        listed = b"\x0f\x00\x03\x02" + (2000).to_bytes(4, "big") + bytes(2000) + b"\x00"
+        frame = message[4:].removesuffix(b"\x0b\x00\x03\x00\x00\x00\x00\x00") + listed
+        message = len(frame).to_bytes(4, "big") + frame
+    assert len(message) <= wire_requests.MAX_FRAME_SIZE
+    requests = decode_requests([message, process_call(8, task_fields(2))])
+    assert requests[0] == MalformedRequest(7, b"process", "there are too many values")
+    assert requests[1].sequence == 8
+    many_fields = {f"k{index}": "" for index in range(64 - len(task_fields(3)))} | task_fields(3)
+    assert decode_requests([process_call(9, many_fields)])[0].task.id == task_fields(3)["ref"]
+
+
 def test_corrupted_requests_raise_no_other_error() -> None:
     rng = random.Random(3)
     valid = process_call(1, task_fields()) + process_call(2, booking_fields(3, "mark"))
--- a/thistleline/wire/thrift.py
+++ b/thistleline/wire/thrift.py
@@ -21,6 +21,8 @@
 FRAME_HEADER_SIZE = 4  # bytes that hold the length of the frame
 MAX_MAP_ENTRIES = 64
 MAX_NESTING = 16
+# Values in one message: a task with all its fields has fewer than half as many. Bounds the work on a message.
+MAX_VALUES = 256
 
 STOP = b"\0"  # ends a struct
 
@@ -46,12 +48,19 @@
     Each method raises MalformedMessageError if the frame is truncated or a value is out of bounds.
     """
 
-    __slots__ = ("position", "view")
+    __slots__ = ("position", "values_left", "view")
 
     def __init__(self, view: memoryview) -> None:
         """Start at the beginning of a frame's content."""
         self.view = view
         self.position = 0
+        self.values_left = MAX_VALUES
+
+    def count_values(self, count: int) -> None:
+        """Count values that are about to be read."""
+        self.values_left -= count
+        if self.values_left < 0:
+            raise MalformedMessageError("there are too many values")
 
     def advance(self, count: int) -> int:
         """Skip `count` bytes and return the position where they start."""
@@ -91,12 +100,14 @@
         key_type, value_type, count = self.read_byte(), self.read_byte(), self.read_i32()
         if not 0 <= count <= MAX_MAP_ENTRIES or (count and (key_type, value_type) != (STRING, STRING)):
             raise MalformedMessageError("the fields are no map of texts")
+        self.count_values(2 * count)
         return {self.read_text(): self.read_text() for _ in range(count)}
 
     def skip(self, value_type: int, depth: int = 0) -> None:
         """Skip a value of any type; `depth` is its nesting level."""
         if depth > MAX_NESTING:
             raise MalformedMessageError("nested too deep")
+        self.count_values(1)
         if value_type in FIXED_SIZES:
             self.advance(FIXED_SIZES[value_type])
         elif value_type == STRING:
