Feed: retain an archive of another format version or kind

Change: only segments of the own version and kind, or without a complete header, are removed. A folder keeps at most the foreign segments that it had.

Test: test_a_feed_archive_that_is_not_understood_is_retained; both cases fail without the change.

--- a/tests/test_stored_fixtures.py
+++ b/tests/test_stored_fixtures.py
@@ -10,7 +10,10 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from thistleline.config_feed.archive import Archive
+from thistleline.config_feed.messages import Kind
 from thistleline.config_feed.table import FeedTable
 from thistleline.consensus.messages import Entry, Member
 from thistleline.consensus.records import SnapshotRecord, VoteRecord
@@ -263,3 +266,26 @@
     archive = Archive(Disk(copied_fixture(tmp_path, "feed_archive"), "feed"), "wide")
     assert archive.recover() is None
     assert archive.recovery_failure == "000000000001.feed is not an archive of format version 1 and kind wide"
+
+
+@pytest.mark.parametrize("difference", ["version", "kind"])
+def test_a_feed_archive_that_is_not_understood_is_retained(tmp_path: Path, difference: str) -> None:
+    # Guards against a rollback that removes the archive which the newer release wrote.
+    folder = copied_fixture(tmp_path, "feed_archive")
+    [path] = folder.glob("*.feed")
+    if difference == "version":
+        data = bytearray(path.read_bytes())
+        data[8:10] = (2).to_bytes(2, "little")
+        path.write_bytes(data)
+    written = path.read_bytes()
+    kind: Kind = "wide" if difference == "kind" else "all"
+    for incarnation in range(1, 3):
+        disk = Disk(folder, "feed")
+        disk.acquire()
+        archive = Archive(disk, kind)
+        recovered = archive.recover()
+        assert (recovered is not None) == (incarnation > 1)
+        assert archive.write(FeedTable().update(incarnation, [("route/a", b"x", incarnation)])) == incarnation
+        disk.release()
+    assert path.read_bytes() == written
+    assert len(list(folder.glob("*.feed"))) == 2  # that one, and the newest snapshot
--- a/thistleline/config_feed/archive.py
+++ b/thistleline/config_feed/archive.py
@@ -8,6 +8,9 @@
 removed only after the new segment and its name are durable, so there is always a complete one. The steps in a
 segment may grow to the size of its snapshot, or to LOG_SIZE_MIN if that is larger. So the segments use at
 most about three times the size of the table.
+
+A segment of another format version or kind is never removed: the program that wrote it, for example a newer
+release that was rolled back, may come back.
 """
 
 from __future__ import annotations
@@ -20,6 +23,7 @@
     ArchivedStep,
     IncompleteSegmentError,
     SegmentEncoder,
+    is_supported,
     read_segment,
 )
 from thistleline.config_feed.history import items_size
@@ -72,7 +76,9 @@
         """
         segments = [number for number, _ in self.disk.segments()]
         self.segment = segments[-1] if segments else 0
-        self.old_segments = list(segments)
+        self.old_segments = [
+            number for number in segments if is_supported(memoryview(self.disk.read(number)), self.kind)
+        ]
         self.needs_snapshot = True
         self.recovery_failure = ""
         for number in reversed(segments):
--- a/thistleline/config_feed/archive_format.py
+++ b/thistleline/config_feed/archive_format.py
@@ -53,6 +53,11 @@
     items: Items
 
 
+def is_supported(data: memoryview, kind: Kind) -> bool:
+    """Return whether a segment has this format version and kind, or no complete header."""
+    return len(data) < _HEADER.size or data[: _HEADER.size] == encode_header(kind)
+
+
 def encode_header(kind: Kind) -> bytes:
     """Return the header of a segment of this kind."""
     return _HEADER.pack(MAGIC, FORMAT_VERSION, int(kind == "all"))
@@ -128,7 +133,7 @@
     """
     if len(data) < _HEADER.size:
         raise IncompleteSegmentError(f"{name} has no complete header")
-    if data[: _HEADER.size] != encode_header(kind):
+    if not is_supported(data, kind):
         raise CorruptFrameError(
             f"{name} is not an archive of format version {FORMAT_VERSION} and kind {kind}"
         )
